Add service time estimator

Cause: schedulers and admission need a predicted service time; job length is not declared. Ruled out: one mean for all jobs, because guides and orders differ by far. Conclusion: running means per path, class and total with bounded memory.

--- /dev/null
+++ b/packages/core/tests/service_time_estimator_test.cpp
@@ -0,0 +1,42 @@
+#include "oriolehold/core/service_time_estimator.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace oriolehold::core;
+using namespace std::chrono_literals;
+
+TEST_GROUP(service_time_estimator)
+{
+    service_time_estimator estimator;
+};
+
+TEST(service_time_estimator, PathIsPreferredOverClassAndClassOverAll)
+{
+    estimator.record("guide", "guides/small", 10ms);
+    estimator.record("guide", "guides/large", 1s);
+    estimator.record("order", "orders", 20ms);
+
+    CHECK_TRUE(estimator.predict("guide", "guides/large") == 1s);
+    CHECK_TRUE(estimator.predict("guide", "guides/new") == 505ms);
+    CHECK_TRUE(estimator.predict("other", "other") == estimator.mean());
+}
+
+TEST(service_time_estimator, FollowsAChangeOfSpeed)
+{
+    for (int i = 0; i < 100; ++i)
+        estimator.record("order", "orders", 10ms);
+    for (int i = 0; i < 50; ++i)
+        estimator.record("order", "orders", 40ms);
+
+    CHECK_TRUE(estimator.predict("order", "orders") > 39ms);
+}
+
+TEST(service_time_estimator, NumberOfPathsIsBounded)
+{
+    for (int i = 0; i < 10'000; ++i)
+        estimator.record("guide", "guides/" + std::to_string(i), 10ms);
+    estimator.record("guide", "guides/9999", 500ms);
+
+    // Not tracked on its own, so the class mean answers.
+    CHECK_TRUE(estimator.predict("guide", "guides/9999") < 100ms);
+}
