Add entry router with weighted random policy

Cause: entries need to route any packet of a flow without state per flow. Ruled out: suspicion by silence alone, because an isolated router would suspect every agent; silence counts only while other agents are heard. A new challenge for a suspect owner without alternative, because the caller would be challenged without end. Urgent probes first, because agents that never answered starved the others under the probe limit (found by ProbesAreBoundedByTimeAndReachEveryAgent). Conclusion: routing, challenges, liveness, slow start and probes behind entry_router.h, with limits for challenges and probes as new options.

--- a/packages/core/include/oriolehold/core/entry_router.h
+++ b/packages/core/include/oriolehold/core/entry_router.h
@@ -33,6 +33,12 @@
     std::string zone; // availability zone of this entry instance
     duration suspectAfter = std::chrono::milliseconds { 1500 }; // unanswered time before suspicion
     duration warmUp = std::chrono::seconds { 10 };              // slow start of a new incarnation
+    // Limit of challenges per service, as a token bucket. Requests beyond it are dropped, so that a
+    // flood of new flows costs no choice of an upstream.
+    double challengesPerSecond = 100'000.0;
+    double challengeBurst = 20'000.0;
+    // Limit of probes of this router, over all agents.
+    double probesPerSecond = 10.0;
 };
 
 class entry_router
--- /dev/null
+++ b/packages/core/include/oriolehold/core/weighted_random_policy.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "oriolehold/core/balancing_policy.h"
+
+// Random choice in proportion to capacity. Needs no load reports.
+
+namespace oriolehold::core {
+
+class weighted_random_policy final : public balancing_policy
+{
+public:
+    std::string_view name() const override { return "weighted_random"; }
+    std::size_t choose(std::span<const upstream_candidate> candidates,
+                       random_source &random) override;
+};
+
+} // namespace oriolehold::core
--- /dev/null
+++ b/packages/core/src/internal/assignment_estimate.cpp
@@ -0,0 +1,55 @@
+#include "internal/assignment_estimate.h"
+
+#include <cmath>
+
+namespace oriolehold::core::internal {
+
+namespace {
+
+// A challenged caller repeats its request after one round trip: two ways between client and entry
+// (1 ms each) and one between zones, plus queueing. Then the agent's reports show it.
+constexpr duration visibilityWindow = std::chrono::milliseconds { 5 };
+// Work that was assigned without a later report is believed to finish at this time constant.
+constexpr double decaySeconds = 0.5;
+
+double secondsBetween(time_point from, time_point to)
+{
+    return std::chrono::duration<double>(to - from).count();
+}
+
+} // namespace
+
+void assignment_estimate::add(time_point now)
+{
+    advance(now);
+    m_current += 1.0;
+}
+
+void assignment_estimate::observeReport(time_point now)
+{
+    advance(now);
+    m_settled = 0.0;
+}
+
+double assignment_estimate::value(time_point now) const
+{
+    const double total = m_settled + m_previous + m_current;
+    if (total == 0.0 || now - m_windowStart < visibilityWindow)
+        return total;
+    return total * std::exp(-secondsBetween(m_windowStart, now) / decaySeconds);
+}
+
+void assignment_estimate::advance(time_point now)
+{
+    const duration elapsed = now - m_windowStart;
+    if (elapsed < visibilityWindow)
+        return;
+    const double kept = std::exp(-secondsBetween(m_windowStart, now) / decaySeconds);
+    const bool skipped = elapsed >= 2 * visibilityWindow;
+    m_settled = (m_settled + m_previous + (skipped ? m_current : 0.0)) * kept;
+    m_previous = skipped ? 0.0 : m_current * kept;
+    m_current = 0.0;
+    m_windowStart = now;
+}
+
+} // namespace oriolehold::core::internal
--- /dev/null
+++ b/packages/core/src/internal/unlisted_agents.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "internal/upstream_view.h"
+
+#include <vector>
+
+// Liveness of owners that authentic tokens name and the configuration in effect does not contain.
+
+namespace oriolehold::core::internal {
+
+// A table of fixed size; a newer agent replaces an older one with the same hash. The loss of an
+// entry only delays its suspicion.
+class unlisted_agents
+{
+public:
+    struct entry
+    {
+        endpoint agent;
+        liveness life;
+    };
+
+    unlisted_agents() : m_entries(capacity) { }
+
+    // The entry of the agent, made when absent.
+    liveness &at(const endpoint &agent)
+    {
+        entry &place = slot(agent);
+        if (place.agent != agent)
+            place = { agent, {} };
+        return place.life;
+    }
+
+    // The entry of the agent, nullptr when absent.
+    liveness *find(const endpoint &agent)
+    {
+        entry &place = slot(agent);
+        return place.agent == agent ? &place.life : nullptr;
+    }
+
+    std::span<entry> entries() { return m_entries; }
+
+private:
+    static constexpr std::size_t capacity = 256;
+
+    entry &slot(const endpoint &agent) { return m_entries[endpoint_hash()(agent) % capacity]; }
+
+    std::vector<entry> m_entries;
+};
+
+} // namespace oriolehold::core::internal
--- /dev/null
+++ b/packages/core/src/internal/upstream_view.cpp
@@ -0,0 +1,151 @@
+#include "internal/upstream_view.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace oriolehold::core::internal {
+
+namespace {
+
+// An unreachable notice is believed for this time, unless the agent is heard again.
+constexpr duration unreachableMemory = std::chrono::seconds { 5 };
+// An order under a token that is bound to a former incarnation ends as "unknown", so tokens are
+// bound only while a restart since the last report is unlikely.
+constexpr duration bindableReportAge = std::chrono::seconds { 3 };
+// Datagrams of a former incarnation do not arrive later than this after those of the next one. A
+// lower incarnation after this time belongs to a machine whose clock was set back.
+constexpr duration reorderingLimit = std::chrono::seconds { 1 };
+// Share of its capacity that an upstream gets at the beginning of its slow start. It is positive,
+// because an upstream without traffic never warms up.
+constexpr double minimumWarmth = 0.05;
+
+constexpr duration incarnationUnit = std::chrono::milliseconds { 100 };
+
+// Time since the agent started, by its incarnation. An incarnation too far in the future to be a
+// start time tells nothing.
+duration ageOf(incarnation value, time_point now)
+{
+    const auto current = static_cast<std::uint32_t>(now.time_since_epoch() / incarnationUnit);
+    const duration age = static_cast<std::int32_t>(current - toInteger(value)) * incarnationUnit;
+    return age < -clockTolerance ? duration::max() : std::max(age, duration::zero());
+}
+
+// Whether first is older than second on the circle of 32-bit numbers.
+bool isOlder(incarnation first, incarnation second)
+{
+    return static_cast<std::int32_t>(toInteger(first) - toInteger(second)) < 0;
+}
+
+} // namespace
+
+void liveness::markSent(time_point now)
+{
+    if (!unansweredSince)
+        unansweredSince = now;
+}
+
+void liveness::markHeard(time_point now)
+{
+    heardAt = now;
+    unansweredSince.reset();
+    unreachableAt.reset();
+}
+
+bool liveness::isUnreachable(time_point now) const
+{
+    return unreachableAt && now - *unreachableAt < unreachableMemory;
+}
+
+void hearing_clock::markHeard(time_point now)
+{
+    if (!m_heardAt || now - *m_heardAt >= m_suspectAfter)
+        m_hearingSince = now;
+    m_heardAt = now;
+}
+
+bool hearing_clock::isSilent(const liveness &agent) const
+{
+    return agent.unansweredSince && m_heardAt
+            && *m_heardAt - std::max(*agent.unansweredSince, m_hearingSince) >= m_suspectAfter;
+}
+
+upstream_view::upstream_view(const core::upstream &upstream, bool sameZone)
+    : m_upstream(&upstream), m_sameZone(sameZone)
+{ }
+
+void upstream_view::adopt(const upstream_view &former)
+{
+    m_life = former.m_life;
+    m_report = former.m_report;
+    m_warmSince = former.m_warmSince;
+    m_assigned = former.m_assigned;
+}
+
+bool upstream_view::isLate(const agent_report &report, time_point now) const
+{
+    return m_report && isOlder(report.incarnation, m_report->incarnation) && m_life.heardAt
+            && now - *m_life.heardAt < reorderingLimit;
+}
+
+void upstream_view::observe(const agent_report &report, duration warmUp, time_point now)
+{
+    if (isLate(report, now))
+        return;
+    const bool restarted = m_report && m_report->incarnation != report.incarnation;
+    const bool returned = m_life.unansweredSince && now - *m_life.unansweredSince >= warmUp;
+    if (restarted || returned)
+        m_warmSince = now;
+    if (restarted)
+        m_assigned = {};
+    m_report = report;
+    m_assigned.observeReport(now);
+    m_life.markHeard(now);
+}
+
+bool upstream_view::isDraining() const
+{
+    return m_report && m_report->state == agent_state::draining;
+}
+
+bool upstream_view::hasFreeConnection() const
+{
+    return !m_report || m_report->connections < m_upstream->connections;
+}
+
+incarnation upstream_view::currentIncarnation(time_point now) const
+{
+    const bool recent = m_life.heardAt && now - *m_life.heardAt <= bindableReportAge;
+    return m_report && recent && !m_life.isUnreachable(now) ? m_report->incarnation
+                                                            : incarnation::unknown;
+}
+
+double upstream_view::warmth(duration warmUp, time_point now) const
+{
+    if (!m_report || warmUp <= duration::zero())
+        return 1.0;
+    duration age = ageOf(m_report->incarnation, now);
+    if (m_warmSince)
+        age = std::min(age, now - *m_warmSince);
+    return std::clamp(std::chrono::duration<double>(age) / warmUp, minimumWarmth, 1.0);
+}
+
+upstream_candidate upstream_view::candidate(duration warmUp, time_point now) const
+{
+    upstream_candidate result;
+    result.upstream = m_upstream;
+    result.sameZone = m_sameZone;
+    result.warmth = warmth(warmUp, now);
+    const double assigned = m_assigned.value(now);
+    result.outstanding = assigned;
+    if (m_report) {
+        result.outstanding += m_report->running + m_report->queued;
+        result.meanServiceTime = m_report->meanServiceTime;
+        const double added = assigned * static_cast<double>(m_report->meanServiceTime.count())
+                / std::max<double>(m_upstream->slots, 1.0);
+        result.expectedWait =
+                m_report->expectedWait + duration { static_cast<duration::rep>(added) };
+    }
+    return result;
+}
+
+} // namespace oriolehold::core::internal
--- /dev/null
+++ b/packages/core/src/internal/upstream_view.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "internal/assignment_estimate.h"
+#include "oriolehold/core/agent_report.h"
+#include "oriolehold/core/balancing_policy.h"
+#include "oriolehold/core/configuration.h"
+
+#include <optional>
+
+// What one entry router learned about agents.
+
+namespace oriolehold::core::internal {
+
+// Signs of life of one agent.
+struct liveness
+{
+    std::optional<time_point> heardAt;
+    std::optional<time_point> unansweredSince; // first forward or probe since heardAt
+    std::optional<time_point> unreachableAt;   // notice since heardAt
+    std::optional<time_point> probedAt;
+
+    void markSent(time_point now);
+    void markHeard(time_point now);
+    // Whether a notice says that no process has the agent's address at present.
+    bool isUnreachable(time_point now) const;
+};
+
+// Time line of what a router hears from agents at all. Silence of an agent counts only while
+// others are heard, so that an isolated router suspects nobody.
+class hearing_clock
+{
+public:
+    explicit hearing_clock(duration suspectAfter) : m_suspectAfter(suspectAfter) { }
+
+    void markHeard(time_point now);
+    // Whether other agents were heard at least suspectAfter later than the first unanswered
+    // message to this one.
+    bool isSilent(const liveness &agent) const;
+
+private:
+    duration m_suspectAfter;
+    std::optional<time_point> m_heardAt;
+    time_point m_hearingSince {}; // end of the last time without any message
+};
+
+// Load and liveness of one configured upstream.
+class upstream_view
+{
+public:
+    upstream_view(const core::upstream &upstream, bool sameZone);
+
+    // Takes over what was learned under the former configuration.
+    void adopt(const upstream_view &former);
+
+    const core::upstream &upstream() const { return *m_upstream; }
+    liveness &life() { return m_life; }
+    const liveness &life() const { return m_life; }
+
+    void observe(const agent_report &report, duration warmUp, time_point now);
+    void markAssigned(time_point now) { m_assigned.add(now); }
+
+    bool isDraining() const;
+    bool hasFreeConnection() const;
+    // The incarnation to bind a token to; unknown when the last report is too old to trust.
+    core::incarnation currentIncarnation(time_point now) const;
+    upstream_candidate candidate(duration warmUp, time_point now) const;
+
+private:
+    bool isLate(const agent_report &report, time_point now) const;
+    double warmth(duration warmUp, time_point now) const;
+
+    const core::upstream *m_upstream;
+    bool m_sameZone;
+    liveness m_life;
+    std::optional<agent_report> m_report;
+    std::optional<time_point> m_warmSince; // start of the slow start
+    assignment_estimate m_assigned;
+};
+
+} // namespace oriolehold::core::internal
