Add slot schedulers and their factory

Cause: the agent needs an order in which waiting jobs get the upstream's slots, behind slot_scheduler. Ruled out: a scheduler that keeps a slot free on an idle upstream; with no running job there is no event that would ask it again, so every scheduler returns a job when nothing runs. Conclusion: first in first out, reserved slot, shortest expected and priority lanes (the default) can be chosen by name; a predicted length of 0 means unknown.

--- /dev/null
+++ b/packages/core/include/oriolehold/core/priority_lane_scheduler.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "oriolehold/core/job_length_classifier.h"
+#include "oriolehold/core/slot_scheduler.h"
+
+#include <map>
+#include <tuple>
+#include <unordered_map>
+
+// The default scheduler: priority classes, shorter jobs first within a class, and long jobs on a
+// limited number of slots.
+//
+// A predicted length of 0 means "unknown", for waiting and for running jobs. The caller passes the
+// result of predictTotal() (running_prediction.h) for running jobs, so that a job that runs much
+// longer than predicted counts as long.
+
+namespace oriolehold::core {
+
+struct priority_lane_options
+{
+    // A job of length e is overtaken only by jobs of its class that arrive within shortAgeing * e.
+    int shortAgeing = 2;
+    // A long job of length e goes before short jobs once it has waited for longAgeing * e, times
+    // its priority plus one.
+    int longAgeing = 2;
+    // Long jobs leave free this many times the slots that short jobs use on average.
+    double shortHeadroom = 1.5;
+};
+
+class priority_lane_scheduler final : public slot_scheduler
+{
+public:
+    explicit priority_lane_scheduler(priority_lane_options options = {});
+
+    std::string_view name() const override { return "priority-lanes"; }
+    void enqueue(const waiting_job &job) override;
+    bool remove(job_id id) override;
+    // Always returns a job when one waits and nothing runs, so a free upstream never stalls.
+    std::optional<job_id> dequeue(std::span<const duration> running, std::size_t slots,
+                                  time_point now) override;
+    duration expectedWait(std::uint8_t priority, duration expectedService,
+                          std::span<const duration> running, std::size_t slots,
+                          time_point now) const override;
+    std::size_t size() const override { return m_jobs.size(); }
+
+private:
+    enum class lane : std::uint8_t { shortWork, unknownWork, longWork };
+    // Priority, time, sequence number. The priority is 0 in the lane of long jobs, where it is part
+    // of the time.
+    using order_key = std::tuple<std::uint8_t, time_point, std::uint64_t>;
+
+    struct queued_job
+    {
+        lane kind = lane::shortWork;
+        order_key key;
+        std::uint8_t priority = 0;
+        duration length {};
+    };
+
+    // Running means over the arrivals of one kind of work.
+    struct arrival_tracker
+    {
+        void observe(time_point now, duration length);
+        // Whether an arrival within the next horizon is likely.
+        bool expectsWithin(time_point now, duration horizon) const;
+        // Average number of slots in use.
+        double load() const;
+
+        time_point last;
+        double meanGap = 0.0;    // microseconds
+        double meanLength = 0.0; // microseconds
+        std::uint64_t count = 0;
+    };
+
+    struct slot_use
+    {
+        std::size_t longJobs = 0;
+        std::size_t unknownJobs = 0;
+    };
+
+    using lane_queue = std::map<order_key, job_id>;
+
+    lane_queue &queueOf(lane kind);
+    slot_use countRunning(std::span<const duration> running) const;
+    std::size_t longLimit(duration length, bool aged, std::size_t slots, time_point now) const;
+    bool mayRunUnknown(const slot_use &use, std::size_t slots, time_point now) const;
+    job_id take(lane_queue &queue);
+
+    priority_lane_options m_options;
+    job_length_classifier m_lengths;
+    arrival_tracker m_knownArrivals; // known short jobs
+    arrival_tracker m_shortArrivals; // known short and unknown jobs
+    std::uint64_t m_nextSequence = 0;
+    std::unordered_map<job_id, queued_job> m_jobs;
+    lane_queue m_short;
+    lane_queue m_unknown;
+    lane_queue m_long;
+    std::map<std::uint8_t, duration> m_shortWork; // queued, by priority
+    duration m_longWork {};                       // queued
+};
+
+} // namespace oriolehold::core
--- /dev/null
+++ b/packages/core/include/oriolehold/core/shortest_expected_scheduler.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "oriolehold/core/slot_scheduler.h"
+
+#include <array>
+#include <map>
+#include <unordered_map>
+
+// Shortest expected job first, with ageing: a job of length e is overtaken only by jobs that arrive
+// within a multiple of e after it. Ignores priorities and keeps no slot free.
+
+namespace oriolehold::core {
+
+class shortest_expected_scheduler final : public slot_scheduler
+{
+public:
+    std::string_view name() const override { return "shortest-expected"; }
+    void enqueue(const waiting_job &job) override;
+    bool remove(job_id id) override;
+    std::optional<job_id> dequeue(std::span<const duration> running, std::size_t slots,
+                                  time_point now) override;
+    duration expectedWait(std::uint8_t priority, duration expectedService,
+                          std::span<const duration> running, std::size_t slots,
+                          time_point now) const override;
+    std::size_t size() const override { return m_places.size(); }
+
+private:
+    // All jobs age at the same rate, so their order never changes.
+    struct order_key
+    {
+        time_point time; // arrival plus the ageing time
+        std::uint64_t sequence = 0;
+        auto operator<=>(const order_key &) const = default;
+    };
+    struct place
+    {
+        order_key key;
+        std::size_t bucket = 0;
+        duration length {};
+    };
+
+    // Queued work by the binary logarithm of the length in microseconds, for expected waits.
+    static constexpr std::size_t bucketCount = 64;
+    static std::size_t bucketOf(duration length);
+
+    std::uint64_t m_nextSequence = 0;
+    std::map<order_key, job_id> m_queue;
+    std::unordered_map<job_id, place> m_places;
+    std::array<duration, bucketCount> m_work {};
+};
+
+} // namespace oriolehold::core
--- /dev/null
+++ b/packages/core/include/oriolehold/core/slot_scheduler_factory.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "oriolehold/core/slot_scheduler.h"
+
+#include <memory>
+
+// Construction of schedulers by the names that settings and benchmarks use.
+
+namespace oriolehold::core {
+
+inline constexpr std::string_view defaultSchedulerName = "priority-lanes";
+
+// "fifo", "reserved-slot", "shortest-expected" or "priority-lanes"; nullptr for any other name.
+std::unique_ptr<slot_scheduler> makeScheduler(std::string_view name);
+
+} // namespace oriolehold::core
--- /dev/null
+++ b/packages/core/src/priority_lane_scheduler.cpp
@@ -0,0 +1,194 @@
+#include "oriolehold/core/priority_lane_scheduler.h"
+
+#include "internal/wait_estimate.h"
+#include "oriolehold/core/invariant.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace oriolehold::core {
+
+namespace {
+
+constexpr double arrivalSmoothing = 0.02; // weight of the newest arrival
+constexpr double silenceFactor = 16.0;    // gaps without an arrival until none is expected
+
+} // namespace
+
+void priority_lane_scheduler::arrival_tracker::observe(time_point now, duration length)
+{
+    if (count > 0) {
+        const double weight = std::max(arrivalSmoothing, 1.0 / static_cast<double>(count));
+        meanGap += weight * (static_cast<double>((now - last).count()) - meanGap);
+    }
+    ++count;
+    const double weight = std::max(arrivalSmoothing, 1.0 / static_cast<double>(count));
+    meanLength += weight * (static_cast<double>(length.count()) - meanLength);
+    last = now;
+}
+
+bool priority_lane_scheduler::arrival_tracker::expectsWithin(time_point now, duration horizon) const
+{
+    if (count < 2)
+        return false;
+    const double silence = static_cast<double>((now - last).count());
+    return silence <= silenceFactor * meanGap && meanGap <= static_cast<double>(horizon.count());
+}
+
+double priority_lane_scheduler::arrival_tracker::load() const
+{
+    return count < 2 ? 0.0 : meanLength / std::max(meanGap, 1.0);
+}
+
+priority_lane_scheduler::priority_lane_scheduler(priority_lane_options options) : m_options(options)
+{ }
+
+void priority_lane_scheduler::enqueue(const waiting_job &job)
+{
+    m_lengths.observe(job.expectedService);
+    queued_job queued;
+    queued.priority = job.priority;
+    if (job.expectedService <= duration::zero()) {
+        queued.kind = lane::unknownWork;
+        queued.length = m_lengths.typical();
+    } else {
+        queued.kind = m_lengths.isLong(job.expectedService) ? lane::longWork : lane::shortWork;
+        queued.length = job.expectedService;
+    }
+
+    const std::uint64_t sequence = m_nextSequence++;
+    if (queued.kind == lane::longWork) {
+        const auto patience = m_options.longAgeing * (job.priority + 1) * queued.length;
+        queued.key = { std::uint8_t { 0 }, job.arrival + patience, sequence };
+        m_longWork += queued.length;
+    } else {
+        queued.key = { job.priority, job.arrival + m_options.shortAgeing * queued.length,
+                       sequence };
+        m_shortWork[job.priority] += queued.length;
+        m_shortArrivals.observe(job.arrival, queued.length);
+        if (queued.kind == lane::shortWork)
+            m_knownArrivals.observe(job.arrival, queued.length);
+    }
+    queueOf(queued.kind).emplace(queued.key, job.id);
+    const bool inserted = m_jobs.emplace(job.id, queued).second;
+    ORIOLEHOLD_INVARIANT(inserted, "a job is queued once");
+}
+
+bool priority_lane_scheduler::remove(job_id id)
+{
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end())
+        return false;
+    const queued_job &job = found->second;
+    queueOf(job.kind).erase(job.key);
+    if (job.kind == lane::longWork)
+        m_longWork -= job.length;
+    else
+        m_shortWork[job.priority] -= job.length;
+    m_jobs.erase(found);
+    return true;
+}
+
+std::optional<job_id> priority_lane_scheduler::dequeue(std::span<const duration> running,
+                                                       std::size_t slots, time_point now)
+{
+    if (m_jobs.empty() || running.size() >= slots)
+        return std::nullopt;
+
+    const slot_use use = countRunning(running);
+    const bool mayRunAny = running.empty();
+    bool mayRunLong = false;
+    if (!m_long.empty()) {
+        const auto &[key, id] = *m_long.begin();
+        const bool aged = std::get<time_point>(key) <= now;
+        mayRunLong = mayRunAny || use.longJobs < longLimit(m_jobs.at(id).length, aged, slots, now);
+        if (mayRunLong && aged)
+            return take(m_long);
+    }
+
+    const bool unknownReady = !m_unknown.empty() && (mayRunAny || mayRunUnknown(use, slots, now));
+    if (unknownReady && (m_short.empty() || m_unknown.begin()->first < m_short.begin()->first))
+        return take(m_unknown);
+    if (!m_short.empty())
+        return take(m_short);
+    if (mayRunLong)
+        return take(m_long);
+    return std::nullopt;
+}
+
+duration priority_lane_scheduler::expectedWait(std::uint8_t priority, duration expectedService,
+                                               std::span<const duration> running, std::size_t slots,
+                                               time_point now) const
+{
+    duration ahead {};
+    for (const auto &[level, work] : m_shortWork) {
+        if (level <= priority)
+            ahead += work;
+    }
+    const duration shortWait = internal::waitBehind(ahead, running, slots, m_lengths.typical());
+    if (!m_lengths.isLong(expectedService))
+        return shortWait;
+
+    std::vector<duration> longRunning;
+    std::ranges::copy_if(running, std::back_inserter(longRunning),
+                         [this](duration total) { return m_lengths.isLong(total); });
+    const std::size_t limit = longLimit(expectedService, true, slots, now);
+    return std::max(shortWait, internal::waitBehind(m_longWork, longRunning, limit, {}));
+}
+
+priority_lane_scheduler::lane_queue &priority_lane_scheduler::queueOf(lane kind)
+{
+    switch (kind) {
+    case lane::shortWork:
+        return m_short;
+    case lane::unknownWork:
+        return m_unknown;
+    case lane::longWork:
+        break;
+    }
+    return m_long;
+}
+
+priority_lane_scheduler::slot_use
+priority_lane_scheduler::countRunning(std::span<const duration> running) const
+{
+    slot_use use;
+    use.longJobs = static_cast<std::size_t>(std::ranges::count_if(
+            running, [this](duration total) { return m_lengths.isLong(total); }));
+    use.unknownJobs = static_cast<std::size_t>(std::ranges::count_if(
+            running, [](duration total) { return total <= duration::zero(); }));
+    return use;
+}
+
+// Number of slots that long jobs may use at once.
+std::size_t priority_lane_scheduler::longLimit(duration length, bool aged, std::size_t slots,
+                                               time_point now) const
+{
+    const bool shortWaits = !m_short.empty() || !m_unknown.empty();
+    if (slots <= 1 || (!shortWaits && !m_shortArrivals.expectsWithin(now, length)))
+        return slots;
+    if (aged)
+        return slots - 1;
+    const double spare =
+            static_cast<double>(slots) - m_options.shortHeadroom * m_shortArrivals.load();
+    return static_cast<std::size_t>(
+            std::clamp(std::floor(spare), 1.0, static_cast<double>(slots - 1)));
+}
+
+// An unknown job may turn out long, so one slot is left for known work when there is any.
+bool priority_lane_scheduler::mayRunUnknown(const slot_use &use, std::size_t slots,
+                                            time_point now) const
+{
+    const bool knownWaits =
+            !m_short.empty() || m_knownArrivals.expectsWithin(now, m_lengths.typical() * 100);
+    return slots <= 1 || !knownWaits || use.unknownJobs + 1 < slots;
+}
+
+job_id priority_lane_scheduler::take(lane_queue &queue)
+{
+    const job_id id = queue.begin()->second;
+    remove(id);
+    return id;
+}
+
+} // namespace oriolehold::core
--- /dev/null
+++ b/packages/core/src/running_prediction.cpp
@@ -0,0 +1,21 @@
+#include "oriolehold/core/running_prediction.h"
+
+#include <algorithm>
+
+namespace oriolehold::core {
+
+namespace {
+
+constexpr duration::rep unknownFactor = 4; // times the mean, until an unknown job counts as long
+
+} // namespace
+
+duration predictTotal(duration predicted, duration elapsed, duration mean)
+{
+    if (predicted > duration::zero())
+        return std::max(predicted, 2 * elapsed - predicted);
+    const bool overdue = mean > duration::zero() && elapsed > unknownFactor * mean;
+    return overdue ? 2 * elapsed : duration::zero();
+}
+
+} // namespace oriolehold::core
