--- /dev/null
+++ b/packages/core/include/oriolehold/core/admission_policy.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "oriolehold/core/result_code.h"
+#include "oriolehold/core/types.h"
+
+#include <optional>
+
+// Decision to accept or refuse a job before it is queued.
+
+namespace oriolehold::core {
+
+struct admission_request
+{
+    time_point now;
+    time_point deadline;
+    duration expectedWait {};    // slot_scheduler::expectedWait()
+    duration expectedService {}; // 0 when unknown
+    std::uint8_t priority = 0;   // 0 is the highest
+    std::size_t queued = 0;      // waiting jobs of all classes
+    std::size_t freeMemory = 0;  // bytes until the process reaches its limit
+};
+
+class admission_policy
+{
+public:
+    virtual ~admission_policy() = default;
+    // The reason to refuse the job, or an empty optional to accept it.
+    virtual std::optional<result_code> refusal(const admission_request &request) const = 0;
+};
+
+struct deadline_admission_options
+{
+    std::size_t maxQueued = 256;         // jobs
+    std::size_t minFreeMemory = 4 << 20; // bytes
+    // Each lower class may use this share of the queue, the memory margin and the waiting time of
+    // the class above it.
+    double lowerClassShare = 0.5;
+    // Part of the time between service and deadline that the expected wait may use. The rest
+    // covers errors of the prediction.
+    double waitShare = 0.7;
+};
+
+// Refuses work that would miss its deadline, and lower classes well before the queue is full. Takes
+// constant time.
+class deadline_admission_policy final : public admission_policy
+{
+public:
+    explicit deadline_admission_policy(deadline_admission_options options = {});
+    // queueFull, deadlineUnreachable or priorityShed.
+    std::optional<result_code> refusal(const admission_request &request) const override;
+
+private:
+    deadline_admission_options m_options;
+};
+
+} // namespace oriolehold::core
--- a/packages/core/include/oriolehold/core/shortest_expected_scheduler.h
+++ b/packages/core/include/oriolehold/core/shortest_expected_scheduler.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <map>
 #include <unordered_map>
+#include <utility>
 
 // Shortest expected job first, with ageing: a job of length e is overtaken only by jobs that arrive
 // within a multiple of e after it. Ignores priorities and keeps no slot free.
@@ -26,12 +27,7 @@
 
 private:
     // All jobs age at the same rate, so their order never changes.
-    struct order_key
-    {
-        time_point time; // arrival plus the ageing time
-        std::uint64_t sequence = 0;
-        auto operator<=>(const order_key &) const = default;
-    };
+    using order_key = std::pair<time_point, std::uint64_t>; // arrival plus ageing time, sequence
     struct place
     {
         order_key key;
