--- /dev/null
+++ b/packages/platform/include/oriolehold/platform/configuration_document.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "oriolehold/core/configuration.h"
+
+#include <boost/leaf.hpp>
+
+#include <string>
+#include <string_view>
+
+// The published configuration as JSON (docs/configuration.md).
+
+namespace oriolehold::platform {
+
+// Largest document in bytes; the platform stores values of up to 1 MB.
+inline constexpr std::size_t maxDocumentSize = 1024 * 1024;
+
+// LEAF error object: what is wrong with a document.
+struct document_error
+{
+    std::string path; // for example "services[0].id"; empty for the document as a whole
+    std::string expected;
+};
+
+// Reads and validates a whole document. Fails with a document_error; throws nothing.
+boost::leaf::result<core::configuration_content> parseDocument(std::string_view json);
+
+// The document of a content; parseDocument() gives the same content back.
+std::string renderDocument(const core::configuration_content &content);
+
+} // namespace oriolehold::platform
--- /dev/null
+++ b/packages/platform/include/oriolehold/platform/settings.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "oriolehold/core/types.h"
+
+#include <boost/leaf.hpp>
+
+#include <chrono>
+#include <string>
+#include <string_view>
+#include <vector>
+
+// Settings files of the daemons, JSON with comments (docs/configuration.md). They take effect at
+// start.
+
+namespace oriolehold::platform {
+
+// LEAF error object: what is wrong with a settings file.
+struct settings_error
+{
+    std::string path; // for example "listeners[0].address"; empty for the file as a whole
+    std::string expected;
+};
+
+struct listener
+{
+    core::service_id service {};
+    core::endpoint address;
+
+    bool operator==(const listener &) const = default;
+};
+
+struct log_settings
+{
+    std::string level = "info";  // "debug", "info", "warning" or "error"
+    std::string format = "text"; // or "json"
+};
+
+struct entry_settings
+{
+    core::entry_id id {};
+    std::string zone;
+    core::endpoint envelopeAddress;
+    std::vector<listener> listeners;
+    core::endpoint platform;
+    core::endpoint admin;
+    std::string drainKey;              // empty: no drain over HTTP
+    std::vector<core::endpoint> peers; // admin addresses of other processes
+    unsigned trafficThreads = 1;
+    std::string policy = "least-expected-wait";
+    std::chrono::milliseconds suspectAfter { 1500 };
+    std::chrono::milliseconds warmUp { 10000 };
+    std::chrono::seconds drainLimit { 30 };
+    log_settings log;
+};
+
+struct agent_settings
+{
+    core::upstream_id id {};
+    std::string zone;
+    core::endpoint envelopeAddress;
+    core::endpoint upstream; // CoAP server
+    core::endpoint platform;
+    core::endpoint admin;
+    std::string drainKey;              // empty: no drain over HTTP
+    std::vector<core::endpoint> peers; // admin addresses of other processes
+    std::string scheduler = "default";
+    std::size_t maxQueued = 256;
+    std::size_t maxLedger = 100000;
+    std::chrono::seconds drainLimit { 30 };
+    std::chrono::milliseconds warmUp { 10000 };
+    std::chrono::milliseconds keepAlive { 5000 };
+    log_settings log;
+};
+
+// Each fails with a settings_error and throws nothing. The names of policies and schedulers are
+// checked by the daemon that knows them.
+boost::leaf::result<entry_settings> parseEntrySettings(std::string_view json);
+boost::leaf::result<agent_settings> parseAgentSettings(std::string_view json);
+boost::leaf::result<entry_settings> loadEntrySettings(const std::string &file);
+boost::leaf::result<agent_settings> loadAgentSettings(const std::string &file);
+
+} // namespace oriolehold::platform
--- /dev/null
+++ b/packages/platform/src/settings.cpp
@@ -0,0 +1,190 @@
+#include "oriolehold/platform/settings.h"
+
+#include "internal/json_object.h"
+#include "oriolehold/platform/endpoint_text.h"
+
+#include <algorithm>
+#include <fstream>
+#include <iterator>
+
+namespace oriolehold::platform {
+
+namespace {
+
+using internal::error_collector;
+using internal::json_object;
+
+constexpr std::size_t maxSettingsSize = 256 * 1024; // bytes
+constexpr std::size_t maxListeners = 1024;
+constexpr std::size_t maxPeers = 64;
+constexpr std::uint64_t maxTrafficThreads = 64;
+constexpr std::uint64_t maxQueueLength = 100'000;
+constexpr std::uint64_t maxLedgerSize = 10'000'000;
+constexpr std::uint64_t minSuspectAfter = 100;    // milliseconds; below it, jitter looks like death
+constexpr std::uint64_t maxSuspectAfter = 60'000; // milliseconds
+constexpr std::uint64_t maxWarmUp = 600'000;      // milliseconds
+constexpr std::uint64_t maxDrainLimit = 3600;     // seconds
+constexpr std::uint64_t minKeepAlive = 100;       // milliseconds
+constexpr std::uint64_t maxKeepAlive = 60'000;    // milliseconds
+constexpr std::size_t minDrainKey = 8;            // characters
+constexpr std::size_t maxDrainKey = 256;          // characters
+
+const std::vector<std::string_view> levels { "debug", "info", "warning", "error" };
+const std::vector<std::string_view> formats { "text", "json" };
+
+bool isDrainKey(std::string_view text)
+{
+    return text.empty()
+            || (text.size() >= minDrainKey && text.size() <= maxDrainKey
+                && std::ranges::all_of(text, [](char c) { return c > ' ' && c < 0x7f; }));
+}
+
+log_settings readLog(json_object &root)
+{
+    log_settings result;
+    json_object object = root.objectOr("log");
+    if (object.has("level"))
+        result.level = levels[object.choice("level", levels)];
+    if (object.has("format"))
+        result.format = formats[object.choice("format", formats)];
+    object.finish();
+    return result;
+}
+
+std::vector<core::endpoint> readPeers(json_object &root, error_collector &errors)
+{
+    std::vector<core::endpoint> result;
+    if (!root.has("peers"))
+        return result;
+    root.elements("peers", 0, maxPeers,
+                  [&](const nlohmann::json &element, const std::string &path) {
+                      const auto address = element.is_string()
+                              ? parseEndpoint(element.get_ref<const std::string &>())
+                              : std::nullopt;
+                      if (!address)
+                          errors.report(path, std::string(internal::addressRule));
+                      else if (std::ranges::find(result, *address) != result.end())
+                          errors.report(path, "a value that no other element has");
+                      else
+                          result.push_back(*address);
+                  });
+    return result;
+}
+
+std::vector<listener> readListeners(json_object &root)
+{
+    std::vector<listener> result;
+    root.objects("listeners", 1, maxListeners, [&](json_object &object) {
+        listener item;
+        item.service = core::service_id { object.integer<std::uint16_t>("service") };
+        item.address = object.address("address");
+        if (std::ranges::find(result, item.address, &listener::address) != result.end())
+            object.report("address", "a value that no other element has");
+        result.push_back(item);
+    });
+    return result;
+}
+
+// The fields that both daemons have.
+template<typename Settings>
+void readCommon(json_object &root, error_collector &errors, Settings &settings)
+{
+    settings.zone = root.identifier("zone");
+    settings.envelopeAddress = root.address("envelope_address");
+    settings.platform = root.address("platform");
+    settings.admin = root.address("admin");
+    settings.drainKey = root.textOr("drain_key", "", isDrainKey,
+                                    "8 to 256 visible ASCII characters, or an empty text");
+    settings.peers = readPeers(root, errors);
+    settings.drainLimit = std::chrono::seconds { root.integerOr(
+            "drain_limit_s", static_cast<std::uint64_t>(settings.drainLimit.count()), 1,
+            maxDrainLimit) };
+    settings.warmUp = std::chrono::milliseconds { root.integerOr(
+            "warm_up_ms", static_cast<std::uint64_t>(settings.warmUp.count()), 0, maxWarmUp) };
+    settings.log = readLog(root);
+}
+
+entry_settings readEntry(json_object &root, error_collector &errors)
+{
+    entry_settings settings;
+    settings.id = core::entry_id { root.integer<std::uint16_t>("id") };
+    readCommon(root, errors, settings);
+    settings.listeners = readListeners(root);
+    settings.trafficThreads = static_cast<unsigned>(
+            root.integerOr("traffic_threads", settings.trafficThreads, 1, maxTrafficThreads));
+    settings.policy = root.textOr("policy", settings.policy, internal::isIdentifier,
+                                  internal::identifierRule);
+    settings.suspectAfter = std::chrono::milliseconds { root.integerOr(
+            "suspect_after_ms", static_cast<std::uint64_t>(settings.suspectAfter.count()),
+            minSuspectAfter, maxSuspectAfter) };
+    return settings;
+}
+
+agent_settings readAgent(json_object &root, error_collector &errors)
+{
+    agent_settings settings;
+    settings.id = core::upstream_id { root.integer<std::uint16_t>("id") };
+    readCommon(root, errors, settings);
+    settings.upstream = root.address("upstream");
+    settings.scheduler = root.textOr("scheduler", settings.scheduler, internal::isIdentifier,
+                                     internal::identifierRule);
+    settings.maxQueued = root.integerOr("max_queued", settings.maxQueued, 1, maxQueueLength);
+    settings.maxLedger = root.integerOr("max_ledger", settings.maxLedger, 1, maxLedgerSize);
+    settings.keepAlive = std::chrono::milliseconds { root.integerOr(
+            "keep_alive_ms", static_cast<std::uint64_t>(settings.keepAlive.count()), minKeepAlive,
+            maxKeepAlive) };
+    return settings;
+}
+
+template<typename Settings>
+boost::leaf::result<Settings> parse(std::string_view json,
+                                    Settings (*read)(json_object &, error_collector &))
+{
+    error_collector errors;
+    const nlohmann::json value = internal::parseJson(json, maxSettingsSize, errors);
+    Settings settings;
+    if (!errors.first()) {
+        json_object root(value, "", errors);
+        settings = read(root, errors);
+        root.finish();
+    }
+    if (errors.first())
+        return boost::leaf::new_error(
+                settings_error { errors.first()->path, errors.first()->expected });
+    return settings;
+}
+
+boost::leaf::result<std::string> readFile(const std::string &file)
+{
+    std::ifstream stream(file, std::ios::binary);
+    std::string text(std::istreambuf_iterator<char>(stream), {});
+    if (!stream.is_open() || stream.bad())
+        return boost::leaf::new_error(settings_error { "", "a readable file " + file });
+    return text;
+}
+
+} // namespace
+
+boost::leaf::result<entry_settings> parseEntrySettings(std::string_view json)
+{
+    return parse(json, readEntry);
+}
+
+boost::leaf::result<agent_settings> parseAgentSettings(std::string_view json)
+{
+    return parse(json, readAgent);
+}
+
+boost::leaf::result<entry_settings> loadEntrySettings(const std::string &file)
+{
+    BOOST_LEAF_AUTO(text, readFile(file));
+    return parseEntrySettings(text);
+}
+
+boost::leaf::result<agent_settings> loadAgentSettings(const std::string &file)
+{
+    BOOST_LEAF_AUTO(text, readFile(file));
+    return parseAgentSettings(text);
+}
+
+} // namespace oriolehold::platform
