Add log events and configuration watch

Cause: the daemons need numbered log events and the published configuration. Ruled out: blocking HTTP reads, because stop() could not end a running long poll.

--- /dev/null
+++ b/packages/platform/include/oriolehold/platform/configuration_acceptor.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "oriolehold/core/configuration.h"
+#include "oriolehold/platform/configuration_document.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace oriolehold::platform {
+
+enum class acceptance : std::uint8_t {
+    accepted,    // a new generation is in effect
+    unchanged,   // the document in effect
+    older,       // a lower generation; not applied
+    conflicting, // the generation in effect with another content; not applied
+    invalid,     // not a valid document; not applied
+};
+
+// Decides which documents take effect: only valid ones of a higher generation.
+class configuration_acceptor
+{
+public:
+    acceptance offer(std::string_view json);
+
+    core::configuration_pointer current() const { return m_current; } // nullptr before the first
+    core::generation_number generation() const;                       // 0 before the first
+    const std::string &document() const { return m_document; } // text of the document in effect
+    // What is wrong with the last invalid document.
+    const document_error &error() const { return m_error; }
+    // Generation of the last valid document that was offered.
+    core::generation_number offeredGeneration() const { return m_offered; }
+
+private:
+    core::configuration_pointer m_current;
+    std::string m_document;
+    document_error m_error;
+    core::generation_number m_offered = 0;
+};
+
+} // namespace oriolehold::platform
--- /dev/null
+++ b/packages/platform/include/oriolehold/platform/configuration_watch.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "oriolehold/core/configuration.h"
+#include "oriolehold/platform/configuration_acceptor.h"
+#include "oriolehold/platform/watch_schedule.h"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace oriolehold::platform {
+
+// Reads the configuration from the platform and, when that is silent, from peers, over HTTP:
+// GET /v1/configuration?after=<generation>&wait=<seconds>. 200 has a document, 304 says that
+// nothing is newer; everything else is a failure. Thread-safe.
+class configuration_watch
+{
+public:
+    using apply_function = std::function<void(core::configuration_pointer)>;
+
+    // peers are admin addresses of other processes. seed spreads the reads of different processes.
+    // apply is called from the watch's own thread for each generation that takes effect.
+    configuration_watch(core::endpoint platform, std::vector<core::endpoint> peers,
+                        std::uint64_t seed, apply_function apply);
+    ~configuration_watch();
+    configuration_watch(const configuration_watch &) = delete;
+    configuration_watch &operator=(const configuration_watch &) = delete;
+
+    void start();
+    // Ends a running read as well; returns within a second.
+    void stop();
+
+    core::generation_number generation() const; // 0 before the first document
+    std::string document() const;               // text of the document in effect, empty before it
+    bool platformReachable() const { return m_reachable.load(); }
+    std::uint64_t reads() const { return m_reads.load(); }       // reads that were started
+    std::uint64_t rejected() const { return m_rejected.load(); } // documents that were not applied
+
+private:
+    void run();
+    read_outcome read(const planned_read &planned);
+    read_outcome accept(const std::string &text, const planned_read &planned);
+    void reportReachability(const planned_read &planned, read_outcome outcome);
+    void pauseUntil(core::time_point time);
+
+    const core::endpoint m_platform;
+    const std::vector<core::endpoint> m_peers;
+    const std::uint64_t m_seed;
+    const apply_function m_apply;
+    std::thread m_thread;
+    std::atomic<bool> m_stopped { true };
+    std::atomic<bool> m_reachable { true };
+    std::atomic<std::uint64_t> m_reads { 0 };
+    std::atomic<std::uint64_t> m_rejected { 0 };
+    mutable std::mutex m_mutex; // guards m_acceptor
+    configuration_acceptor m_acceptor;
+};
+
+} // namespace oriolehold::platform
--- /dev/null
+++ b/packages/platform/src/internal/http_reader.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "oriolehold/core/types.h"
+
+#include <atomic>
+#include <chrono>
+#include <optional>
+#include <string>
+
+namespace oriolehold::platform::internal {
+
+struct http_answer
+{
+    unsigned status = 0;
+    std::string body;
+};
+
+// Reads http://server<path>?<query>. Returns an empty optional when there is no complete answer
+// within the limit, when the body is larger than maximumSize bytes, or soon after stopped is set.
+std::optional<http_answer> readHttp(core::endpoint server, const std::string &path,
+                                    const std::string &query, std::size_t maximumSize,
+                                    std::chrono::milliseconds limit,
+                                    const std::atomic<bool> &stopped);
+
+} // namespace oriolehold::platform::internal
--- /dev/null
+++ b/packages/platform/src/internal/log_rate_limit.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <limits>
+#include <optional>
+
+namespace oriolehold::platform::internal {
+
+// Admits one line per interval and counts the others. Thread-safe and without locks, because it
+// stands on the traffic path.
+class log_rate_limit
+{
+public:
+    // The number of lines that were suppressed since the last admitted one, or an empty optional
+    // when this line is suppressed. now must be of a monotonic clock.
+    std::optional<std::uint64_t> admit(std::chrono::nanoseconds now,
+                                       std::chrono::nanoseconds interval)
+    {
+        std::int64_t next = m_next.load(std::memory_order_relaxed);
+        if (now.count() < next
+            || !m_next.compare_exchange_strong(next, (now + interval).count(),
+                                               std::memory_order_relaxed)) {
+            m_suppressed.fetch_add(1, std::memory_order_relaxed);
+            return std::nullopt;
+        }
+        return m_suppressed.exchange(0, std::memory_order_relaxed);
+    }
+
+private:
+    std::atomic<std::int64_t> m_next { std::numeric_limits<std::int64_t>::min() };
+    std::atomic<std::uint64_t> m_suppressed { 0 };
+};
+
+} // namespace oriolehold::platform::internal
--- /dev/null
+++ b/packages/platform/src/log_events.cpp
@@ -0,0 +1,243 @@
+#include "oriolehold/platform/log_events.h"
+
+#include "internal/log_format.h"
+#include "internal/log_rate_limit.h"
+
+#include <spdlog/async.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+namespace oriolehold::platform {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto table = std::to_array<log_event_info>({
+        { log_event::processStart, "process-start", log_level::info, 0ms, "The process started." },
+        { log_event::processReady, "process-ready", log_level::info, 0ms,
+          "The process accepts traffic." },
+        { log_event::drainStarted, "drain-started", log_level::info, 0ms,
+          "The process takes no new work and finishes what it has." },
+        { log_event::drainFinished, "drain-finished", log_level::info, 0ms,
+          "All work is finished or handed over." },
+        { log_event::drainCutOff, "drain-cut-off", log_level::warning, 0ms,
+          "The drain ended before all work was finished; the fields count what was cut off." },
+        { log_event::secondSignal, "second-signal", log_level::warning, 0ms,
+          "A second stop signal ends the drain at once." },
+        { log_event::processStop, "process-stop", log_level::info, 0ms, "The process ends." },
+        { log_event::internalError, "internal-error", log_level::error, 1000ms,
+          "An operation failed in a way that the process tolerates but does not expect." },
+        { log_event::settingsInvalid, "settings-invalid", log_level::error, 0ms,
+          "The settings file is wrong; the process does not start." },
+        { log_event::settingsValid, "settings-valid", log_level::info, 0ms,
+          "The settings file is right." },
+        { log_event::configurationInEffect, "configuration-in-effect", log_level::info, 0ms,
+          "A new generation of the configuration is in effect." },
+        { log_event::configurationRejected, "configuration-rejected", log_level::error, 1000ms,
+          "A document is invalid; the former one stays in effect." },
+        { log_event::configurationOlder, "configuration-older", log_level::warning, 1000ms,
+          "A document has an older generation; the current one stays in effect." },
+        { log_event::configurationConflict, "configuration-conflict", log_level::error, 1000ms,
+          "A document has the generation in effect but another content; it is not applied." },
+        { log_event::platformUnreachable, "platform-unreachable", log_level::warning, 0ms,
+          "The platform does not answer or answers with an error." },
+        { log_event::platformReachable, "platform-reachable", log_level::info, 0ms,
+          "The platform answers again." },
+        { log_event::peerDocument, "peer-document", log_level::info, 1000ms,
+          "A peer gave the document, because the platform is silent." },
+        { log_event::notInDocument, "not-in-document", log_level::warning, 0ms,
+          "The document does not name this instance." },
+        { log_event::agentSuspect, "agent-suspect", log_level::warning, 0ms,
+          "An agent is silent; it gets no new flows." },
+        { log_event::agentRecovered, "agent-recovered", log_level::info, 0ms,
+          "A suspect agent answers again." },
+        { log_event::agentRestarted, "agent-restarted", log_level::info, 0ms,
+          "An agent reports a new incarnation." },
+        { log_event::isolated, "isolated", log_level::warning, 0ms,
+          "Nothing arrives from any process; the view is kept and none is declared dead." },
+        { log_event::isolationEnded, "isolation-ended", log_level::info, 0ms,
+          "Other processes are heard again." },
+        { log_event::upstreamUnreachable, "upstream-unreachable", log_level::warning, 0ms,
+          "The upstream beside this agent does not answer." },
+        { log_event::upstreamReachable, "upstream-reachable", log_level::info, 0ms,
+          "The upstream beside this agent answers again." },
+        { log_event::entryUnreachable, "entry-unreachable", log_level::warning, 0ms,
+          "An entry is silent; answers go through another entry." },
+        { log_event::entryReachable, "entry-reachable", log_level::info, 0ms,
+          "A silent entry is heard again." },
+        { log_event::packetDropped, "packet-dropped", log_level::warning, 1000ms,
+          "A packet of a caller was dropped; the field reason is a result code." },
+        { log_event::envelopeDropped, "envelope-dropped", log_level::warning, 1000ms,
+          "A packet of another process was dropped; the field reason is a result code." },
+        { log_event::sendFailed, "send-failed", log_level::warning, 1000ms,
+          "The operating system did not accept a packet." },
+        { log_event::receiveFailed, "receive-failed", log_level::warning, 1000ms,
+          "The operating system reported an error of a socket." },
+        { log_event::workRefused, "work-refused", log_level::info, 1000ms,
+          "A request was refused and will not run; the field reason is a result code." },
+        { log_event::outcomeUnknown, "outcome-unknown", log_level::warning, 1000ms,
+          "A caller was told that the outcome is unknown; the field reason is a result code." },
+        { log_event::handoverDone, "handover-done", log_level::info, 1000ms,
+          "Another agent owns the feeds that were offered." },
+        { log_event::handoverFailed, "handover-failed", log_level::warning, 1000ms,
+          "No agent took a feed; its caller registers again." },
+        { log_event::adminListening, "admin-listening", log_level::info, 0ms,
+          "The HTTP interface for operators accepts connections." },
+        { log_event::adminFailed, "admin-failed", log_level::error, 1000ms,
+          "The HTTP interface for operators failed." },
+        { log_event::drainRequested, "drain-requested", log_level::info, 0ms,
+          "An operator requested the drain over HTTP." },
+        { log_event::drainDenied, "drain-denied", log_level::warning, 1000ms,
+          "A drain request over HTTP had a wrong key." },
+});
+
+// Number of lines that wait for a slow reader of the standard error output.
+constexpr std::size_t queueLength = 8192;
+
+std::size_t positionOf(log_event event)
+{
+    const auto found = std::ranges::lower_bound(table, event, {}, &log_event_info::event);
+    return found != table.end() && found->event == event
+            ? static_cast<std::size_t>(found - table.begin())
+            : 0;
+}
+
+spdlog::level::level_enum toSpdlog(log_level level)
+{
+    constexpr std::array levels { spdlog::level::debug, spdlog::level::info, spdlog::level::warn,
+                                  spdlog::level::err };
+    return levels[static_cast<std::size_t>(level)];
+}
+
+spdlog::level::level_enum toSpdlog(const std::string &level)
+{
+    if (level == "debug")
+        return spdlog::level::debug;
+    if (level == "warning")
+        return spdlog::level::warn;
+    return level == "error" ? spdlog::level::err : spdlog::level::info;
+}
+
+struct log_output
+{
+    std::shared_ptr<spdlog::logger> logger;
+    bool json = false;
+};
+
+constexpr const char *textPattern = "%Y-%m-%dT%H:%M:%S.%eZ %l %v";
+constexpr const char *jsonPattern = R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l",%v})";
+
+void configure(log_output &output, const log_settings &settings)
+{
+    output.json = settings.format == "json";
+    output.logger->set_pattern(output.json ? jsonPattern : textPattern,
+                               spdlog::pattern_time_type::utc);
+    output.logger->set_level(toSpdlog(settings.level));
+}
+
+std::shared_ptr<const log_output> directOutput()
+{
+    auto output = std::make_shared<log_output>();
+    output->logger = std::make_shared<spdlog::logger>(
+            "oriolehold", std::make_shared<spdlog::sinks::stderr_sink_mt>());
+    configure(*output, {});
+    return output;
+}
+
+// The output in use. A shared pointer behind a mutex, because traffic threads may log while the
+// output is replaced; lines are rate-limited, so the mutex is not contended.
+class current_output
+{
+public:
+    std::shared_ptr<const log_output> get()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_output;
+    }
+    void set(std::shared_ptr<const log_output> output)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_output.swap(output);
+    }
+
+private:
+    std::mutex m_mutex;
+    std::shared_ptr<const log_output> m_output = directOutput();
+};
+
+current_output &output()
+{
+    static current_output instance;
+    return instance;
+}
+
+std::array<internal::log_rate_limit, table.size()> rateLimits;
+
+void write(const log_event_info &event, std::span<const log_field> fields)
+{
+    const std::shared_ptr<const log_output> target = output().get();
+    if (target->logger->should_log(toSpdlog(event.level)))
+        target->logger->log(toSpdlog(event.level), "{}",
+                            target->json ? internal::formatJsonMembers(event, fields)
+                                         : internal::formatText(event, fields));
+}
+
+} // namespace
+
+std::span<const log_event_info> logEvents()
+{
+    return table;
+}
+
+const log_event_info &info(log_event event)
+{
+    return table[positionOf(event)];
+}
+
+void initLogging(const log_settings &settings)
+{
+    spdlog::init_thread_pool(queueLength, 1);
+    auto created = std::make_shared<log_output>();
+    created->logger = std::make_shared<spdlog::async_logger>(
+            "oriolehold", std::make_shared<spdlog::sinks::stderr_sink_mt>(), spdlog::thread_pool(),
+            spdlog::async_overflow_policy::overrun_oldest);
+    configure(*created, settings);
+    output().set(std::move(created));
+}
+
+void stopLogging()
+{
+    output().set(directOutput());
+    spdlog::shutdown();
+}
+
+void log(log_event event, std::initializer_list<log_field> fields) noexcept
+{
+    try {
+        const std::size_t position = positionOf(event);
+        const log_event_info &details = table[position];
+        if (details.interval.count() == 0) {
+            write(details, std::span(fields.begin(), fields.size()));
+            return;
+        }
+        const auto suppressed = rateLimits[position].admit(
+                std::chrono::steady_clock::now().time_since_epoch(), details.interval);
+        if (!suppressed)
+            return;
+        std::vector<log_field> all(fields);
+        if (*suppressed > 0)
+            all.emplace_back("suppressed", *suppressed);
+        write(details, all);
+    } catch (...) { // NOLINT(bugprone-empty-catch): a lost log line must not stop the process
+    }
+}
+
+} // namespace oriolehold::platform
