--- /dev/null
+++ b/packages/admin/src/admin_server.cpp
@@ -0,0 +1,98 @@
+#include "oriolehold/admin/admin_server.h"
+
+#include "internal/admin_service.h"
+#include "oriolehold/platform/log_events.h"
+
+#include <cxxtools/eventloop.h>
+#include <cxxtools/http/server.h>
+#include <cxxtools/regex.h>
+#include <sodium.h>
+
+#include <exception>
+#include <thread>
+
+namespace oriolehold::admin {
+
+namespace {
+
+// A connection that sends or reads slowly occupies one of these threads until a timeout.
+constexpr unsigned minThreads = 2;
+constexpr unsigned maxThreads = 16;
+constexpr double readTimeout = 1000;      // milliseconds
+constexpr double writeTimeout = 2000;     // milliseconds
+constexpr double keepAliveTimeout = 5000; // milliseconds
+
+std::string hostOf(core::endpoint address)
+{
+    const std::string text = core::toString(address);
+    return text.substr(0, text.find(':'));
+}
+
+} // namespace
+
+bool matchesKey(std::string_view configured, std::string_view presented)
+{
+    return !configured.empty() && configured.size() == presented.size()
+            && sodium_memcmp(configured.data(), presented.data(), configured.size()) == 0;
+}
+
+class admin_server::implementation
+{
+public:
+    implementation(core::endpoint listen, status_source &source)
+        : m_service(source), m_server(m_loop, hostOf(listen), listen.port)
+    {
+        m_server.minThreads(minThreads);
+        m_server.maxThreads(maxThreads);
+        m_server.readTimeout(cxxtools::Milliseconds(readTimeout));
+        m_server.writeTimeout(cxxtools::Milliseconds(writeTimeout));
+        m_server.keepAliveTimeout(cxxtools::Milliseconds(keepAliveTimeout));
+        m_server.addService(cxxtools::Regex(".*"), m_service);
+        m_thread = std::thread([this] { run(); });
+    }
+
+    ~implementation()
+    {
+        m_loop.exit();
+        m_thread.join();
+    }
+
+    implementation(const implementation &) = delete;
+    implementation &operator=(const implementation &) = delete;
+
+private:
+    void run()
+    {
+        try {
+            m_loop.run();
+        } catch (const std::exception &error) {
+            platform::log(platform::log_event::adminFailed, { { "error", error.what() } });
+        }
+    }
+
+    internal::admin_service m_service;
+    cxxtools::EventLoop m_loop;
+    cxxtools::http::Server m_server;
+    std::thread m_thread;
+};
+
+admin_server::admin_server(core::endpoint listen, status_source &source)
+    : m_listen(listen), m_source(source)
+{ }
+
+admin_server::~admin_server() = default;
+
+void admin_server::start()
+{
+    if (m_implementation)
+        return;
+    m_implementation = std::make_unique<implementation>(m_listen, m_source);
+    platform::log(platform::log_event::adminListening, { { "address", core::toString(m_listen) } });
+}
+
+void admin_server::stop()
+{
+    m_implementation.reset();
+}
+
+} // namespace oriolehold::admin
--- /dev/null
+++ b/packages/admin/src/internal/admin_service.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "oriolehold/admin/status_source.h"
+
+#include <cxxtools/http/service.h>
+
+#include <string>
+#include <string_view>
+
+namespace oriolehold::admin::internal {
+
+// Answer to a request of an operator.
+struct admin_answer
+{
+    unsigned status = 200;
+    std::string contentType = "text/plain; charset=utf-8";
+    std::string body;
+};
+
+// Decides the answer. authorization is the value of the header, or empty.
+admin_answer answer(status_source &source, std::string_view method, std::string_view path,
+                    std::string_view authorization);
+
+// Serves all paths of the interface.
+class admin_service : public cxxtools::http::Service
+{
+public:
+    explicit admin_service(status_source &source) : m_source(source) { }
+
+protected:
+    cxxtools::http::Responder *createResponder(const cxxtools::http::Request &request) override;
+    void releaseResponder(cxxtools::http::Responder *responder) override;
+
+private:
+    status_source &m_source;
+};
+
+} // namespace oriolehold::admin::internal
