Add entry daemon, life cycle of daemons and event loop

Cause: the router needs sockets, threads, settings and a graceful stop around it. Ruled out: a connection per agent (3,600 upstreams); one UDP socket serves all envelopes. Per-thread router state is not shared, because tokens name the owners.

--- /dev/null
+++ b/packages/core/include/oriolehold/core/balancing_policy_factory.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "oriolehold/core/balancing_policy.h"
+
+#include <memory>
+
+namespace oriolehold::core {
+
+// The policy with this name, as in the settings of the entry daemon; nullptr for an unknown name.
+std::unique_ptr<balancing_policy> makeBalancingPolicy(std::string_view name);
+
+} // namespace oriolehold::core
--- /dev/null
+++ b/packages/daemon/src/main_program.cpp
@@ -0,0 +1,59 @@
+#include "oriolehold/daemon/main_program.h"
+
+#include "oriolehold/platform/log_events.h"
+
+#include <exception>
+
+namespace oriolehold::daemon {
+
+namespace {
+
+using platform::log_event;
+
+int finish(std::string_view name, stop_reason reason)
+{
+    if (reason == stop_reason::secondSignal)
+        platform::log(log_event::secondSignal, { { "program", name } });
+    if (reason == stop_reason::drainLimit)
+        platform::log(log_event::drainCutOff, { { "program", name } });
+    platform::log(log_event::processStop, { { "program", name } });
+    return reason == stop_reason::drained ? exitSuccess : exitCutOff;
+}
+
+} // namespace
+
+int reportSettingsError(const platform::settings_error &error, const std::string &file)
+{
+    platform::log(log_event::settingsInvalid,
+                  { { "file", file }, { "path", error.path }, { "expected", error.expected } });
+    platform::stopLogging();
+    return platform::exitWrongSettings;
+}
+
+int reportSettingsValid(const std::string &file)
+{
+    platform::log(log_event::settingsValid, { { "file", file } });
+    platform::stopLogging();
+    return exitSuccess;
+}
+
+int runLogged(std::string_view name, std::chrono::seconds drainLimit,
+              const platform::log_settings &log,
+              const std::function<std::unique_ptr<managed_process>()> &create)
+{
+    blockStopSignals();
+    platform::initLogging(log);
+    platform::log(log_event::processStart, { { "program", name } });
+    int exitCode = exitStartFailed;
+    try {
+        const std::unique_ptr<managed_process> process = create();
+        exitCode = finish(name, runUntilStopped(*process, drainLimit));
+    } catch (const std::exception &error) {
+        platform::log(log_event::internalError,
+                      { { "program", name }, { "reason", std::string_view(error.what()) } });
+    }
+    platform::stopLogging();
+    return exitCode;
+}
+
+} // namespace oriolehold::daemon
--- /dev/null
+++ b/packages/daemon/src/managed_process.cpp
@@ -0,0 +1,57 @@
+#include "oriolehold/daemon/managed_process.h"
+
+#include <csignal>
+#include <optional>
+
+namespace oriolehold::daemon {
+
+namespace {
+
+using steady_time = std::chrono::steady_clock::time_point;
+
+constexpr timespec pollInterval { 0, 50'000'000 }; // 50 ms
+
+sigset_t stopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    return signals;
+}
+
+} // namespace
+
+void blockStopSignals()
+{
+    const sigset_t signals = stopSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
+stop_reason runUntilStopped(managed_process &process, std::chrono::milliseconds drainLimit)
+{
+    const sigset_t signals = stopSignals();
+    std::optional<steady_time> deadline;
+    stop_reason reason = stop_reason::drained;
+    process.start();
+    while (!process.drained()) {
+        const bool signaled = sigtimedwait(&signals, nullptr, &pollInterval) > 0;
+        const steady_time now = std::chrono::steady_clock::now();
+        if (signaled && deadline) {
+            reason = stop_reason::secondSignal;
+            break;
+        }
+        if (signaled) {
+            deadline = now + drainLimit;
+            process.drain();
+        }
+        if (deadline && now >= *deadline) {
+            reason = stop_reason::drainLimit;
+            break;
+        }
+    }
+    process.stop();
+    return reason;
+}
+
+} // namespace oriolehold::daemon
--- /dev/null
+++ b/packages/daemon/tests/managed_process_test.cpp
@@ -0,0 +1,69 @@
+#include "oriolehold/daemon/managed_process.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <csignal>
+#include <unistd.h>
+
+using namespace oriolehold::daemon;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Sends itself signals at start and when a drain begins.
+class fake_process final : public managed_process
+{
+public:
+    void start() override { kill(getpid(), SIGTERM); }
+    void drain() override
+    {
+        ++drains;
+        if (signalWhileDraining)
+            kill(getpid(), SIGTERM);
+        isDrained = drainsAtOnce;
+    }
+    bool drained() const override { return isDrained; }
+    void stop() override { ++stops; }
+
+    bool drainsAtOnce = true;
+    bool signalWhileDraining = false;
+    bool isDrained = false;
+    int drains = 0;
+    int stops = 0;
+};
+
+} // namespace
+
+TEST_GROUP(managed_process)
+{
+    fake_process process;
+
+    void setup() override
+    {
+        blockStopSignals();
+    }
+};
+
+TEST(managed_process, FirstSignalDrainsBeforeTheStop)
+{
+    CHECK_TRUE(runUntilStopped(process, 10s) == stop_reason::drained);
+    CHECK_EQUAL(1, process.drains);
+    CHECK_EQUAL(1, process.stops);
+}
+
+TEST(managed_process, SecondSignalStopsAtOnce)
+{
+    process.drainsAtOnce = false;
+    process.signalWhileDraining = true;
+
+    CHECK_TRUE(runUntilStopped(process, 10s) == stop_reason::secondSignal);
+    CHECK_EQUAL(1, process.stops);
+}
+
+TEST(managed_process, DrainLimitEndsADrainThatDoesNotFinish)
+{
+    process.drainsAtOnce = false;
+
+    CHECK_TRUE(runUntilStopped(process, 1ms) == stop_reason::drainLimit);
+    CHECK_EQUAL(1, process.stops);
+}
--- /dev/null
+++ b/packages/entry/include/oriolehold/entry/traffic_worker.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "oriolehold/core/entry_router.h"
+#include "oriolehold/net/event_loop.h"
+#include "oriolehold/net/udp_socket.h"
+#include "oriolehold/platform/settings.h"
+#include "oriolehold/wire/envelope.h"
+
+#include <array>
+#include <atomic>
+#include <memory>
+#include <optional>
+
+// Packet path of the entry daemon: the sockets around core::entry_router.
+
+namespace oriolehold::entry {
+
+// Counters that the traffic thread writes and any thread reads.
+struct traffic_counters
+{
+    std::atomic<std::uint64_t> received { 0 };  // packets of callers
+    std::atomic<std::uint64_t> forwarded { 0 }; // packets to agents
+    std::atomic<std::uint64_t> delivered { 0 }; // packets to callers that agents sent
+    std::atomic<std::uint64_t> probes { 0 };
+    std::atomic<std::uint64_t> sendFailures { 0 };
+    std::array<std::atomic<std::uint64_t>, 8192> byCode {}; // replies and drops by result code
+};
+
+class traffic_worker
+{
+public:
+    // Opens the sockets; throws std::system_error when an address cannot be bound. With several
+    // traffic threads all workers share the addresses; they need no common state, because tokens
+    // name the owners.
+    explicit traffic_worker(const platform::entry_settings &settings);
+
+    // Runs the packet loop in the calling thread until stop().
+    void run();
+    void stop() { m_loop.stop(); }
+    // Puts a configuration into effect. Can be called by any thread.
+    void configure(core::configuration_pointer configuration);
+
+    core::generation_number generation() const { return m_generation.load(); }
+    const traffic_counters &counters() const { return m_counters; }
+    // Time without any packet of a caller or an agent.
+    core::duration idleTime() const;
+
+private:
+    struct caller_socket
+    {
+        core::service_id service;
+        net::udp_socket socket;
+    };
+
+    void receiveFromCallers(caller_socket &listener);
+    void routePacket(caller_socket &listener, const net::datagram &packet, core::time_point now);
+    void receiveEnvelopes();
+    void handleEnvelope(const net::datagram &envelope, core::time_point now);
+    void deliver(const core::endpoint &agent, const wire::deliver_message &message,
+                 core::time_point now);
+    void sendProbes(core::time_point now);
+    core::duration onIdle();
+    void count(core::result_code code);
+
+    net::daemon_clock m_clock;
+    std::unique_ptr<core::balancing_policy> m_policy;
+    core::seeded_random m_random;
+    core::entry_router m_router;
+    net::event_loop m_loop;
+    std::vector<std::unique_ptr<caller_socket>> m_listeners;
+    net::udp_socket m_envelopes;
+    std::optional<wire::envelope_codec> m_codec;
+    core::configuration_pointer m_configuration;
+    core::time_point m_nextProbes;
+    traffic_counters m_counters;
+    std::atomic<core::generation_number> m_generation { 0 };
+    std::atomic<core::duration::rep> m_lastPacket { 0 };
+};
+
+} // namespace oriolehold::entry
--- a/packages/net/include/oriolehold/net/udp_socket.h
+++ b/packages/net/include/oriolehold/net/udp_socket.h
@@ -3,7 +3,6 @@
 #include "oriolehold/core/types.h"
 
 #include <memory>
-#include <string_view>
 #include <system_error>
 #include <vector>
 
@@ -11,9 +10,6 @@
 
 namespace oriolehold::net {
 
-// Parses "a.b.c.d:port". Returns a null endpoint when the text is malformed.
-core::endpoint parseEndpoint(std::string_view text);
-
 struct datagram
 {
     core::endpoint peer;
@@ -31,7 +27,8 @@
     static constexpr std::size_t maxReceiveSize = 2048;
 
     // Binds to the address; port 0 picks a free port. Throws std::system_error on failure.
-    explicit udp_socket(const core::endpoint &local);
+    // With shared set, several sockets may have the same address and the kernel spreads the flows.
+    explicit udp_socket(const core::endpoint &local, bool shared = false);
     ~udp_socket();
     udp_socket(udp_socket &&other) noexcept;
     udp_socket &operator=(udp_socket &&) = delete;
--- a/packages/net/src/udp_socket.cpp
+++ b/packages/net/src/udp_socket.cpp
@@ -10,7 +10,6 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
-#include <charconv>
 #include <utility>
 
 namespace oriolehold::net {
@@ -40,23 +39,6 @@
 
 } // namespace
 
-core::endpoint parseEndpoint(std::string_view text)
-{
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string_view::npos)
-        return {};
-    in_addr address {};
-    const std::string host(text.substr(0, colon));
-    if (inet_pton(AF_INET, host.c_str(), &address) != 1)
-        return {};
-    const std::string_view digits = text.substr(colon + 1);
-    std::uint16_t port = 0;
-    const auto [end, error] = std::from_chars(digits.begin(), digits.end(), port);
-    if (error != std::errc {} || end != digits.end())
-        return {};
-    return { ntohl(address.s_addr), port };
-}
-
 struct udp_socket::buffers
 {
     std::array<std::array<std::uint8_t, maxReceiveSize>, batchSize> input;
@@ -72,7 +54,8 @@
     std::size_t queued = 0;
 };
 
-udp_socket::udp_socket(const core::endpoint &local) : m_buffers(std::make_unique<buffers>())
+udp_socket::udp_socket(const core::endpoint &local, bool shared)
+    : m_buffers(std::make_unique<buffers>())
 {
     m_descriptor = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (m_descriptor < 0)
@@ -81,6 +64,8 @@
     setsockopt(m_descriptor, SOL_SOCKET, SO_SNDBUF, &socketBufferSize, sizeof(socketBufferSize));
     const int enabled = 1;
     setsockopt(m_descriptor, IPPROTO_IP, IP_RECVERR, &enabled, sizeof(enabled));
+    if (shared)
+        setsockopt(m_descriptor, SOL_SOCKET, SO_REUSEPORT, &enabled, sizeof(enabled));
     const sockaddr_in address = toSocketAddress(local);
     if (bind(m_descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0) {
         const int error = errno;
--- a/packages/net/tests/udp_socket_test.cpp
+++ b/packages/net/tests/udp_socket_test.cpp
@@ -57,11 +57,3 @@
     CHECK_EQUAL(1u, unreachable.size());
     CHECK_TRUE(unreachable[0] == closed);
 }
-
-TEST(udp_socket, MalformedEndpointsAreNull)
-{
-    CHECK_TRUE(net::parseEndpoint("127.0.0.1:5683") == (core::endpoint { loopback, 5683 }));
-    for (const char *text :
-         { "", "127.0.0.1", "127.0.0.1:", "127.0.0.1:70000", "host:1", "127.0.0.1:1x", "1.2.3:4" })
-        CHECK_TRUE(net::parseEndpoint(text).isNull());
-}
