Add stand-ins for upstreams, network and callers

The balancer needs back ends, a network that sprays packets and callers to be measured against, without other programs.

standin-upstream serves jobs on a limited number of slots with libcoap, standin-fabric hands each caller packet to a random entry, standin-caller runs orders, guides and feeds over one libcoap session per simulated caller and service.

libcoap 4.3.1 neither adds nor answers Echo options when its block mode is off; the new test checks that exactly one Echo leaves the caller, also when order packets and therefore challenges are duplicated.

--- /dev/null
+++ b/standins/caller/feed.cpp
@@ -0,0 +1,177 @@
+#include "feed.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace oriolehold::standins {
+
+namespace {
+
+constexpr std::int64_t longestGapLimitUs = 12'000'000;
+// A feed without news is registered again this long after its Max-Age.
+constexpr std::int64_t registrationGraceUs = 2'000'000;
+// Time after which a first registration without answer is repeated.
+constexpr std::int64_t registrationTimeoutUs = 5'000'000;
+// Time before a registration that was refused is repeated.
+constexpr std::int64_t refusalPauseUs = 1'000'000;
+constexpr std::int64_t defaultMaxAge = 60; // seconds, RFC 7252
+// RFC 7641, section 3.4: later notifications win, or any after this time.
+constexpr std::int64_t sequenceLifetimeUs = 128'000'000;
+constexpr std::uint32_t sequenceHalf = 1U << 23;
+
+} // namespace
+
+feed::feed(feed_parameters parameters, coap_session_t *session, request_sender &sender)
+    : m_parameters(std::move(parameters)), m_session(session), m_sender(sender)
+{ }
+
+void feed::start(std::int64_t nowUs)
+{
+    m_startUs = nowUs;
+    beginRegistration(nowUs);
+}
+
+void feed::beginRegistration(std::int64_t nowUs)
+{
+    ++m_registrations;
+    m_challenges = 0;
+    m_nextRegistrationUs = nowUs + registrationTimeoutUs;
+    sendRegistration();
+}
+
+void feed::sendRegistration()
+{
+    m_sender.forgetToken(m_pendingToken);
+    m_pendingToken = m_sender.newToken(true);
+    outgoing_request request;
+    request.path = { m_parameters.path };
+    request.queries = { "id=" + m_parameters.id };
+    request.observe = COAP_OBSERVE_ESTABLISH;
+    request.token = m_pendingToken;
+    request.echo = m_echo;
+    m_sender.send(m_session, request);
+}
+
+bool feed::receive(const incoming_response &response, std::int64_t nowUs)
+{
+    if (response.echo)
+        m_echo = *response.echo;
+    const bool pending = response.token == m_pendingToken;
+    if (pending && response.isChallenge() && m_challenges < maxChallenges) {
+        ++m_challenges;
+        sendRegistration();
+        return true;
+    }
+    if (response.code != COAP_RESPONSE_CODE_CONTENT || !response.observe) {
+        const bool wasEstablished = established();
+        fail(nowUs, response.codeText() + " " + response.payload.substr(0, 60));
+        return !wasEstablished || pending;
+    }
+    if (pending) {
+        m_sender.forgetToken(m_token);
+        m_token = std::exchange(m_pendingToken, {});
+        if (m_establishedUs == 0)
+            m_establishedUs = m_lastContactUs = nowUs;
+        m_sequence = *response.observe;
+    }
+    receiveState(response, nowUs);
+    return true;
+}
+
+void feed::receiveState(const incoming_response &response, std::int64_t nowUs)
+{
+    if (m_notifications > 0 && !isNewer(*response.observe, nowUs)) {
+        ++m_staleNotifications;
+    } else {
+        m_sequence = *response.observe;
+    }
+    ++m_notifications;
+    m_longestGapUs = std::max(m_longestGapUs, nowUs - m_lastContactUs);
+    m_lastContactUs = nowUs;
+    const std::int64_t maxAge = response.maxAge ? std::int64_t { *response.maxAge } : defaultMaxAge;
+    m_nextRegistrationUs = nowUs + maxAge * 1'000'000 + registrationGraceUs;
+
+    const auto state = nlohmann::json::parse(response.payload, nullptr, false);
+    if (!state.is_object() || state.value("service", "") != m_parameters.service)
+        ++m_wrongService;
+    const std::string upstream = state.is_object() ? state.value("upstream", "") : "";
+    if (m_upstreams.empty() || m_upstreams.back()[1] != upstream)
+        m_upstreams.push_back({ nowUs, upstream });
+}
+
+bool feed::isNewer(std::uint32_t sequence, std::int64_t nowUs) const
+{
+    if (nowUs > m_lastContactUs + sequenceLifetimeUs)
+        return true;
+    return sequence > m_sequence ? sequence - m_sequence < sequenceHalf
+                                 : m_sequence - sequence > sequenceHalf;
+}
+
+void feed::fail(std::int64_t nowUs, const std::string &reason)
+{
+    if (established()) {
+        ++m_errors;
+        if (m_firstError.empty())
+            m_firstError = reason;
+    }
+    m_sender.forgetToken(m_token);
+    m_sender.forgetToken(m_pendingToken);
+    m_token.clear();
+    m_pendingToken.clear();
+    m_nextRegistrationUs = nowUs + refusalPauseUs;
+}
+
+void feed::receiveReset(const std::string &token, std::int64_t nowUs)
+{
+    if (token == m_pendingToken || token == m_token)
+        fail(nowUs, "RST");
+}
+
+void feed::advance(std::int64_t nowUs)
+{
+    if (nowUs < m_nextRegistrationUs)
+        return;
+    if (m_establishedUs != 0)
+        ++m_reRegistrations;
+    beginRegistration(nowUs);
+}
+
+void feed::deregister()
+{
+    if (!established())
+        return;
+    outgoing_request request;
+    request.path = { m_parameters.path };
+    request.queries = { "id=" + m_parameters.id };
+    request.observe = COAP_OBSERVE_CANCEL;
+    request.token = m_token;
+    request.echo = m_echo;
+    m_sender.send(m_session, request);
+}
+
+nlohmann::json feed::record(std::int64_t nowUs) const
+{
+    const bool wasEstablished = m_establishedUs != 0;
+    const std::int64_t lastUs = wasEstablished ? m_lastContactUs : m_startUs;
+    const std::int64_t gapUs = std::max(m_longestGapUs, nowUs - lastUs);
+    const bool broken = m_errors > 0 || m_reRegistrations > 0 || gapUs > longestGapLimitUs;
+    return { { "kind", "feed" },
+             { "id", m_parameters.id },
+             { "service", m_parameters.service },
+             { "outcome", wasEstablished ? "done" : "unanswered" },
+             { "broken", broken },
+             { "start_us", m_startUs },
+             { "established_us", m_establishedUs },
+             { "end_us", nowUs },
+             { "notifications", m_notifications },
+             { "stale_notifications", m_staleNotifications },
+             { "longest_gap_us", gapUs },
+             { "registrations", m_registrations },
+             { "re_registrations", m_reRegistrations },
+             { "errors", m_errors },
+             { "first_error", m_firstError },
+             { "wrong_service", m_wrongService },
+             { "upstreams", m_upstreams } };
+}
+
+} // namespace oriolehold::standins
--- /dev/null
+++ b/standins/tests/caller_test.py
@@ -0,0 +1,139 @@
+"""Runs standin-caller against a small CoAP server that challenges every request without Echo."""
+
+import collections
+import json
+import os
+import socket
+import struct
+import subprocess
+import sys
+import tempfile
+import threading
+import unittest
+
+ECHO, OBSERVE, PATH, QUERY = 252, 6, 11, 15
+CHALLENGE, CHANGED, CONTENT = 0x81, 0x44, 0x45
+
+CALLER = sys.argv.pop(1)
+
+
+def parse(data):
+    """Returns (type, code, message id, token, [(option number, value)])."""
+    kind, token_length = (data[0] >> 4) & 3, data[0] & 15
+    position, number, options = 4 + token_length, 0, []
+    while position < len(data) and data[position] != 0xFF:
+        delta, length = data[position] >> 4, data[position] & 15
+        position += 1
+        fields = []
+        for field in (delta, length):
+            if field == 13:
+                field, position = data[position] + 13, position + 1
+            elif field == 14:
+                field = struct.unpack_from("!H", data, position)[0] + 269
+                position += 2
+            fields.append(field)
+        number += fields[0]
+        options.append((number, data[position:position + fields[1]]))
+        position += fields[1]
+    return kind, data[1], struct.unpack_from("!H", data, 2)[0], data[4:4 + token_length], options
+
+
+def encode(kind, code, message_id, token, options, payload=b""):
+    """Encodes a message; the options must be in ascending order."""
+    data = bytes([0x40 | kind << 4 | len(token), code]) + struct.pack("!H", message_id) + token
+    last = 0
+    for number, value in options:
+        extended, nibbles = b"", []
+        for field in (number - last, len(value)):
+            if field < 13:
+                nibbles.append(field)
+            elif field < 269:
+                nibbles.append(13)
+                extended += bytes([field - 13])
+            else:
+                nibbles.append(14)
+                extended += struct.pack("!H", field - 269)
+        data += bytes([nibbles[0] << 4 | nibbles[1]]) + extended + value
+        last = number
+    return data + (b"\xff" + payload if payload else b"")
+
+
+class ChallengingServer(threading.Thread):
+    """Answers each request packet without Echo with a new Echo, and others with success."""
+
+    def __init__(self):
+        super().__init__(daemon=True)
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.bind(("127.0.0.1", 0))
+        self.requests = []  # (path, id, [echo values])
+        self.issued = 0
+
+    @property
+    def address(self):
+        return "127.0.0.1:%d" % self.socket.getsockname()[1]
+
+    def run(self):
+        while True:
+            data, peer = self.socket.recvfrom(2048)
+            kind, code, message_id, token, options = parse(data)
+            if code == 0 or code >= 0x40:
+                continue
+            echoes = [value for number, value in options if number == ECHO]
+            queries = dict(value.decode().split("=", 1)
+                           for number, value in options if number == QUERY)
+            path = b"/".join(value for number, value in options if number == PATH).decode()
+            self.requests.append((path, queries["id"], echoes))
+            if not echoes:
+                self.issued += 1
+                answer = encode(2, CHALLENGE, message_id, token,
+                                [(ECHO, b"echo-%d" % self.issued)])
+            elif path == "stock":
+                answer = encode(2, CONTENT, message_id, token, [(OBSERVE, b"\x01")],
+                                b'{"service":"orders","upstream":"u"}')
+            else:
+                body = json.dumps({"id": queries["id"], "service": "orders"}).encode()
+                answer = encode(2, CHANGED, message_id, token, [(ECHO, b"fresh")], body)
+            self.socket.sendto(answer, peer)
+
+
+class CallerTest(unittest.TestCase):
+    def run_caller(self, *options):
+        server = ChallengingServer()
+        server.start()
+        with tempfile.TemporaryDirectory() as folder:
+            records = os.path.join(folder, "records")
+            subprocess.run([CALLER, "--service-map", "orders=" + server.address, "--records",
+                            records, "--seconds", "1", "--callers", "3", *options],
+                           check=True, timeout=60)
+            with open(records, encoding="utf-8") as lines:
+                return server, [json.loads(line) for line in lines]
+
+    def test_order_carries_exactly_one_echo_after_the_challenge(self):
+        # libcoap can add an Echo option by itself; a second one would make the request ambiguous.
+        server, records = self.run_caller("--orders-per-second", "50")
+        by_id = collections.defaultdict(list)
+        for _, order, echoes in server.requests:
+            by_id[order].append(echoes)
+        self.assertGreater(len(by_id), 10)
+        for echoes in by_id.values():
+            self.assertEqual([len(values) for values in echoes], [0, 1])
+        self.assertEqual({record["outcome"] for record in records}, {"done"})
+
+    def test_order_with_duplicated_packets_uses_one_echo_only(self):
+        # Two challenges are two tickets; answering both would run the order twice.
+        server, records = self.run_caller("--orders-per-second", "50", "--duplicate-orders")
+        echoes_by_id = collections.defaultdict(set)
+        for _, order, echoes in server.requests:
+            echoes_by_id[order].update(echoes)
+        self.assertGreater(len(echoes_by_id), 10)
+        self.assertEqual({len(echoes) for echoes in echoes_by_id.values()}, {1})
+        self.assertTrue(all(record["right_answer"] for record in records))
+
+    def test_feed_is_established_after_the_challenge(self):
+        _, records = self.run_caller("--feeds", "3")
+        self.assertEqual([record["outcome"] for record in records], ["done"] * 3)
+        self.assertFalse(any(record["broken"] for record in records))
+
+
+if __name__ == "__main__":
+    unittest.main()
