Add agent core

The agent owns the flows of one upstream: request ledger, message layer, jobs, block-wise answers, feeds and their handover.

--- a/packages/core/include/oriolehold/core/agent_core.h
+++ b/packages/core/include/oriolehold/core/agent_core.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "oriolehold/core/agent_admission.h"
 #include "oriolehold/core/agent_report.h"
 #include "oriolehold/core/configuration.h"
 #include "oriolehold/core/result_code.h"
@@ -103,14 +104,17 @@
 class agent_core
 {
 public:
-    // The references must outlive the core.
+    // The references must outlive the core. Without an admission policy, deadline_admission is
+    // used.
     agent_core(agent_core_options options, agent_actions &actions, slot_scheduler &scheduler,
-               random_source &random);
+               random_source &random, admission_policy *admission = nullptr);
     ~agent_core();
 
     // Puts a configuration into effect; one with a lower or equal generation is ignored.
     bool configure(configuration_pointer configuration, time_point now);
 
+    // Any envelope of an entry, for example a probe, shows that the entry works.
+    void observeEntry(const endpoint &entry, time_point now);
     // A caller's packet, forwarded by an entry.
     void receive(const endpoint &entry, const endpoint &caller, service_id service,
                  byte_view packet, time_point now);
--- /dev/null
+++ b/packages/core/src/handover_receiver.cpp
@@ -0,0 +1,72 @@
+#include "internal/handover_receiver.h"
+
+namespace oriolehold::core::internal {
+
+namespace {
+
+// An accepted feed whose commit does not arrive gives its connection back. The old owner commits
+// within milliseconds of the accept.
+constexpr std::chrono::seconds reservationLifetime { 10 };
+// A commit that was delayed or duplicated in the network must not revive a feed that has moved on.
+// Longer than any drain and than the longest time in which packets arrive (247 s).
+constexpr std::chrono::seconds committedLifetime { 300 };
+
+} // namespace
+
+void handover_receiver::receive(const endpoint &from, const handover_message &message,
+                                time_point now)
+{
+    const transfer_key key { from, message.from, message.id };
+    const auto found = m_transfers.find(key);
+    const bool committed = found != m_transfers.end() && found->second.committed;
+    if (message.step == handover_step::offer) {
+        if (committed)
+            return; // the old owner has the commit's reply to wait for
+        if (found == m_transfers.end()) {
+            if (!m_sink.canAdopt(message.feed)) {
+                reply(from, message, handover_step::refuse);
+                return;
+            }
+            setExpiry(key, m_transfers[key], now + reservationLifetime);
+            ++m_reserved;
+        }
+        reply(from, message, handover_step::accept);
+    } else if (message.step == handover_step::commit) {
+        if (!committed) {
+            // Also without a reservation, which has expired or was lost with a former incarnation:
+            // nobody else owns the feed now.
+            if (found != m_transfers.end())
+                --m_reserved;
+            transfer &item = m_transfers[key];
+            item.committed = true;
+            setExpiry(key, item, now + committedLifetime);
+            m_sink.adopt(message.feed, now);
+        }
+        reply(from, message, handover_step::done);
+    }
+}
+
+void handover_receiver::advance(time_point now)
+{
+    while (!m_order.empty() && m_order.begin()->first <= now) {
+        const auto found = m_transfers.find(m_order.begin()->second);
+        m_order.erase(m_order.begin());
+        m_reserved -= found->second.committed ? 0 : 1;
+        m_transfers.erase(found);
+    }
+}
+
+void handover_receiver::reply(const endpoint &to, const handover_message &message,
+                              handover_step step)
+{
+    m_actions.sendHandover(to, { step, message.id, message.from, {} });
+}
+
+void handover_receiver::setExpiry(const transfer_key &key, transfer &item, time_point expiry)
+{
+    m_order.erase({ item.expiry, key });
+    item.expiry = expiry;
+    m_order.emplace(expiry, key);
+}
+
+} // namespace oriolehold::core::internal
--- /dev/null
+++ b/packages/core/src/handover_sender.cpp
@@ -0,0 +1,190 @@
+#include "internal/handover_sender.h"
+
+#include "oriolehold/core/invariant.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace oriolehold::core::internal {
+
+namespace {
+
+// Bounds the burst of messages when an agent with thousands of feeds drains.
+constexpr std::size_t maxTransfers = 64;
+constexpr std::chrono::milliseconds offerInterval { 300 };
+constexpr int maxOffers = 3;                                     // to one target
+constexpr std::chrono::milliseconds firstCommitInterval { 200 }; // doubled each time
+constexpr std::chrono::seconds maxCommitInterval { 2 };
+// Pause after all targets have refused.
+constexpr std::chrono::seconds roundPause { 1 };
+// A target that was silent gets no offer for this time when there are others.
+constexpr std::chrono::seconds silentTargetPause { 5 };
+
+} // namespace
+
+void handover_sender::setTargets(std::vector<const upstream *> targets)
+{
+    std::vector<target> updated;
+    std::ranges::transform(targets, std::back_inserter(updated), [this](const upstream *item) {
+        const target *former = findTarget(item->agent);
+        return target { item->id, item->agent,
+                        former != nullptr ? former->avoidUntil : time_point {} };
+    });
+    m_targets = std::move(updated);
+}
+
+void handover_sender::start(feed_id feed, time_point now)
+{
+    m_waiting.push_back(feed);
+    fill(now);
+}
+
+void handover_sender::receive(const endpoint &from, const handover_message &message, time_point now)
+{
+    const auto found = m_transfers.find(message.id);
+    if (message.from != m_incarnation || found == m_transfers.end() || found->second.target != from)
+        return;
+    transfer &item = found->second;
+    if (message.step == handover_step::accept && item.state == phase::offered) {
+        commit(message.id, item, now);
+    } else if (message.step == handover_step::refuse && item.state == phase::offered) {
+        ++item.refusals;
+        offerNext(message.id, now);
+    } else if (message.step == handover_step::done && item.state == phase::committed) {
+        finish(message.id, now);
+    }
+}
+
+void handover_sender::advance(time_point now)
+{
+    while (const auto id = m_timers.popDue(now)) {
+        transfer &item = m_transfers.at(*id);
+        if (item.state == phase::committed) {
+            item.interval = std::min<duration>(item.interval * 2, maxCommitInterval);
+            send(*id, item, handover_step::commit, item.committed);
+            m_timers.set(*id, now + item.interval);
+        } else if (item.state == phase::offered && item.transmissions < maxOffers) {
+            offer(*id, item, now);
+        } else {
+            if (item.state == phase::offered) {
+                ++item.refusals;
+                if (target *silent = findTarget(item.target))
+                    silent->avoidUntil = now + silentTargetPause;
+            }
+            offerNext(*id, now);
+        }
+    }
+}
+
+void handover_sender::fill(time_point now)
+{
+    while (!m_waiting.empty() && m_transfers.size() < maxTransfers) {
+        const feed_id feed = m_waiting.front();
+        m_waiting.pop_front();
+        if (!m_source.stateOf(feed))
+            continue;
+        transfer item;
+        item.feed = feed;
+        const std::uint64_t id = ++m_lastId;
+        m_transfers.emplace(id, std::move(item));
+        offerNext(id, now);
+    }
+}
+
+void handover_sender::offer(std::uint64_t id, transfer &item, time_point now)
+{
+    const std::optional<feed_state> state = m_source.stateOf(item.feed);
+    if (!state) {
+        finish(id, now);
+        return;
+    }
+    ++item.transmissions;
+    send(id, item, handover_step::offer, *state);
+    m_timers.set(id, now + offerInterval);
+}
+
+void handover_sender::offerNext(std::uint64_t id, time_point now)
+{
+    // Every target gets its own number, so that a late accept of a former one has no effect.
+    auto node = m_transfers.extract(id);
+    m_timers.cancel(id);
+    node.key() = ++m_lastId;
+    transfer &item = m_transfers.insert(std::move(node)).position->second;
+    const bool roundOver = item.refusals >= std::max<std::size_t>(m_targets.size(), 1);
+    const target *next = m_targets.empty() || roundOver ? nullptr : chooseTarget(item.target, now);
+    if (next == nullptr) {
+        item.state = phase::waiting;
+        item.refusals = 0;
+        m_timers.set(m_lastId, now + roundPause);
+        return;
+    }
+    item.state = phase::offered;
+    item.target = next->agent;
+    item.transmissions = 0;
+    offer(m_lastId, item, now);
+}
+
+void handover_sender::commit(std::uint64_t id, transfer &item, time_point now)
+{
+    const target *owner = findTarget(item.target);
+    const std::optional<feed_state> state = m_source.stateOf(item.feed);
+    if (!state) {
+        finish(id, now); // the accepted offer expires
+        return;
+    }
+    if (owner == nullptr) { // left the configuration meanwhile
+        offerNext(id, now);
+        return;
+    }
+    m_source.freeze(item.feed, owner->id, now);
+    item.state = phase::committed;
+    item.committed = *state;
+    item.interval = firstCommitInterval;
+    send(id, item, handover_step::commit, item.committed);
+    m_timers.set(id, now + item.interval);
+}
+
+void handover_sender::finish(std::uint64_t id, time_point now)
+{
+    const auto found = m_transfers.find(id);
+    const feed_id feed = found->second.feed;
+    const bool committed = found->second.state == phase::committed;
+    m_transfers.erase(found);
+    m_timers.cancel(id);
+    if (committed)
+        m_source.release(feed);
+    fill(now);
+}
+
+void handover_sender::send(std::uint64_t id, const transfer &item, handover_step step,
+                           const feed_state &feed)
+{
+    m_actions.sendHandover(item.target, { step, id, m_incarnation, feed });
+}
+
+const handover_sender::target *handover_sender::chooseTarget(const endpoint &former, time_point now)
+{
+    const auto rotated = [&](auto &&accepts) -> const target * {
+        for (std::size_t i = 0; i < m_targets.size(); ++i) {
+            const std::size_t index = (m_nextTarget + i) % m_targets.size();
+            if (accepts(m_targets[index])) {
+                m_nextTarget = index + 1;
+                return &m_targets[index];
+            }
+        }
+        return nullptr;
+    };
+    const target *preferred = rotated(
+            [&](const target &item) { return item.agent != former && item.avoidUntil <= now; });
+    if (preferred == nullptr)
+        preferred = rotated([&](const target &item) { return item.agent != former; });
+    return preferred != nullptr ? preferred : rotated([](const target &) { return true; });
+}
+
+handover_sender::target *handover_sender::findTarget(const endpoint &agent)
+{
+    const auto found = std::ranges::find(m_targets, agent, &target::agent);
+    return found == m_targets.end() ? nullptr : &*found;
+}
+
+} // namespace oriolehold::core::internal
--- /dev/null
+++ b/packages/core/src/internal/caller_channel.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "internal/entry_selector.h"
+#include "internal/exchange_table.h"
+#include "internal/message_id_allocator.h"
+#include "internal/response.h"
+#include "internal/timer_index.h"
+#include "oriolehold/core/agent_core.h"
+
+// The CoAP message layer towards callers: recognises copies, acknowledges, answers and retransmits.
+
+namespace oriolehold::core::internal {
+
+// Where notifications of a feed go to.
+struct notification_target
+{
+    feed_id feed {};
+    endpoint entry; // preferred
+    endpoint caller;
+    service_id service {};
+    byte_view token;
+};
+
+// What a message that a caller acknowledged or rejected belongs to.
+struct confirmed_message
+{
+    std::optional<feed_id> feed; // none for a separate response
+};
+
+class caller_channel
+{
+public:
+    // The references must outlive the channel.
+    caller_channel(agent_actions &actions, random_source &random, duration entrySilence);
+
+    void configure(const configuration &configuration, std::uint8_t index);
+    void observeEntry(const endpoint &entry, time_point now) { m_entries.observe(entry, now); }
+
+    // Opens an exchange for a request. When the packet is a copy, the channel repeats what it has
+    // sent for the first one and returns an empty optional.
+    std::optional<exchange_id> open(const endpoint &entry, const endpoint &caller,
+                                    service_id service, const coap::message_view &request,
+                                    time_point now);
+    const exchange *find(exchange_id id) { return m_exchanges.find(id); }
+    std::optional<exchange_id> findOpen(const message_key &key) const
+    {
+        return m_exchanges.findOpen(key);
+    }
+
+    void respond(exchange_id id, const response &value, time_point now);
+    // Closes an exchange whose caller does not want the answer any more.
+    void abandon(exchange_id id) { m_exchanges.setReply(id, {}); }
+
+    // Returns the message ID.
+    std::uint16_t notify(const notification_target &target, const response &value,
+                         bool isConfirmable, time_point now);
+    // Earliest time of the next notification to the caller.
+    time_point available(const endpoint &caller) const { return m_messageIds.available(caller); }
+    // Stops the retransmissions for a feed.
+    void forget(feed_id feed);
+
+    // The caller acknowledged or rejected a confirmable message. Empty when it is unknown.
+    std::optional<confirmed_message> confirm(const message_key &key);
+
+    time_point nextTimer() const;
+    // Returns the feeds with a confirmable notification that was never acknowledged.
+    std::vector<feed_id> advance(time_point now);
+
+    // Whether an answer is outstanding or may have been lost.
+    bool isBusy(time_point now) const;
+
+private:
+    struct confirmable
+    {
+        std::optional<feed_id> feed;
+        endpoint entry;
+        service_id service {};
+        byte_vector bytes;
+        int retransmissions = 0;
+        duration interval {};
+    };
+
+    void repeat(exchange &copy, time_point now);
+    void acknowledge(exchange &value, time_point now);
+    void deliver(const endpoint &entry, const exchange &value, byte_view bytes);
+    std::uint16_t allocateMessageId(const endpoint &caller, time_point now);
+    void startConfirmable(const message_key &key, confirmable value, time_point now);
+    void retransmit(const message_key &key, time_point now, std::vector<feed_id> &unacknowledged);
+
+    agent_actions &m_actions;
+    entry_selector m_entries;
+    message_id_allocator m_messageIds;
+    exchange_table m_exchanges;
+    std::unordered_map<message_key, confirmable, message_key_hash> m_confirmables;
+    std::unordered_multimap<std::uint64_t, message_key> m_confirmablesByFeed;
+    timer_index<message_key, message_key_hash> m_retransmissions;
+    timer_index<std::uint64_t> m_acknowledgements; // by exchange
+    time_point m_lastAnswer = time_point::min();
+};
+
+} // namespace oriolehold::core::internal
--- /dev/null
+++ b/packages/core/src/internal/entry_selector.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "oriolehold/core/configuration.h"
+
+#include <unordered_map>
+
+// Chooses the entry instance that delivers a message to a caller.
+
+namespace oriolehold::core::internal {
+
+class entry_selector
+{
+public:
+    // random must outlive the selector.
+    entry_selector(duration entrySilence, random_source &random)
+        : m_entrySilence(entrySilence), m_random(random)
+    { }
+
+    void configure(std::span<const entry_instance> entries);
+    void observe(const endpoint &entry, time_point now);
+
+    // preferred, unless it has been silent; then another entry.
+    endpoint choose(const endpoint &preferred, time_point now);
+    // Another entry than former when there is one; those that were heard recently come first.
+    endpoint chooseOther(const endpoint &former, time_point now);
+
+private:
+    bool isSilent(const endpoint &entry, time_point now) const;
+
+    duration m_entrySilence;
+    random_source &m_random;
+    std::vector<endpoint> m_entries;
+    std::unordered_map<endpoint, time_point, endpoint_hash> m_lastHeard;
+};
+
+} // namespace oriolehold::core::internal
--- /dev/null
+++ b/packages/core/src/internal/flow_issuer.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "oriolehold/core/configuration.h"
+#include "oriolehold/core/flow_token.h"
+
+#include <optional>
+
+// Issues and verifies flow tokens for one agent.
+
+namespace oriolehold::core::internal {
+
+// What a valid token says about the ticket.
+enum class token_binding : std::uint8_t {
+    current, // bound to this incarnation
+    former,  // bound to another incarnation
+    unbound,
+};
+
+class flow_issuer
+{
+public:
+    // random must outlive the issuer.
+    flow_issuer(upstream_id self, incarnation own, random_source &random)
+        : m_selfId(self), m_incarnation(own), m_random(random)
+    { }
+
+    // The configuration must contain the upstream.
+    void configure(configuration_pointer configuration);
+
+    token_result open(byte_view bytes, const endpoint &caller, time_point now) const;
+    token_binding bindingOf(const flow_token &token) const;
+
+    // A token for this agent with a new ticket, bound to this incarnation.
+    flow_token_bytes issue(const endpoint &caller, time_point now);
+    // An unbound token for another live upstream of the service, chosen at random with weight
+    // slots * strength. Empty when there is none.
+    std::optional<flow_token_bytes> issueElsewhere(const endpoint &caller, time_point now);
+    std::optional<flow_token_bytes> issueFor(upstream_id target, const endpoint &caller,
+                                             time_point now);
+
+private:
+    flow_token_bytes seal(const upstream &target, incarnation bound, const endpoint &caller,
+                          time_point now);
+
+    upstream_id m_selfId;
+    incarnation m_incarnation;
+    random_source &m_random;
+    configuration_pointer m_configuration;
+    const upstream *m_self = nullptr;
+    std::optional<flow_token_codec> m_codec;
+};
+
+// The live upstreams of the service of self, without self.
+std::vector<const upstream *> otherLiveUpstreams(const configuration &configuration,
+                                                 const upstream &self);
+
+} // namespace oriolehold::core::internal
--- /dev/null
+++ b/packages/core/src/internal/job_table.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "internal/exchange_table.h"
+#include "internal/request_ledger.h"
+#include "internal/timer_index.h"
+#include "oriolehold/core/agent_core.h"
+
+#include <unordered_map>
+
+// Jobs that wait for a slot or hold one.
+
+namespace oriolehold::core::internal {
+
+enum class job_state : std::uint8_t {
+    queued,
+    running,
+    abandoned, // its callers have an answer, but the upstream may still run it
+};
+
+// A caller that waits for the answer of a job.
+struct job_waiter
+{
+    exchange_id exchange {};
+    std::uint8_t blockExponent = 0; // largest block that the caller accepts
+};
+
+struct agent_job
+{
+    upstream_request request;
+    std::string className;
+    std::uint8_t priority = 0;
+    bool isDownload = false;
+    request_digest bodyDigest {}; // of the request without payload, names a block-wise body
+    std::optional<ticket_key> ticket;
+    std::vector<job_waiter> waiters;
+    time_point arrival;
+    time_point started;
+    duration expectedService {};
+    job_state state = job_state::queued;
+};
+
+class job_table
+{
+public:
+    // The scheduler must outlive the table.
+    explicit job_table(slot_scheduler &scheduler) : m_scheduler(scheduler) { }
+
+    void setSlots(std::size_t slots) { m_slots = slots; }
+
+    job_id nextId() { return job_id { ++m_lastId }; }
+    // Enqueues a job; its request holds the number and the deadline.
+    void enqueue(agent_job job);
+    // Takes the next job for a free slot. The caller starts or releases it.
+    agent_job *takeNext(time_point now);
+    // nullptr when the job has ended.
+    agent_job *find(job_id id);
+    // Ends a job: removes it from the queue or frees its slot.
+    void erase(job_id id);
+
+    std::size_t queued() const { return m_scheduler.size(); }
+    std::size_t running() const { return m_running.size(); }
+    std::size_t slots() const { return m_slots; }
+    std::size_t size() const { return m_jobs.size(); }
+    std::size_t downloads() const { return m_downloads; }
+    duration expectedWait(std::uint8_t priority, duration expectedService, time_point now) const;
+
+    timer_index<std::uint64_t> &timers() { return m_timers; }
+    const timer_index<std::uint64_t> &timers() const { return m_timers; }
+
+    template<typename Predicate>
+    agent_job *findIf(Predicate &&predicate)
+    {
+        const auto found = std::find_if(m_jobs.begin(), m_jobs.end(),
+                                        [&](const auto &item) { return predicate(item.second); });
+        return found == m_jobs.end() ? nullptr : &found->second;
+    }
+
+private:
+    std::vector<duration> runningTotals(time_point now) const;
+
+    slot_scheduler &m_scheduler;
+    std::size_t m_slots = 0;
+    std::uint64_t m_lastId = 0;
+    std::unordered_map<std::uint64_t, agent_job> m_jobs;
+    std::vector<job_id> m_running;
+    std::size_t m_downloads = 0;
+    timer_index<std::uint64_t> m_timers; // deadline, later the end of the hold of the slot
+};
+
+} // namespace oriolehold::core::internal
--- /dev/null
+++ b/packages/core/src/message_id_allocator.cpp
@@ -0,0 +1,60 @@
+#include "internal/message_id_allocator.h"
+
+#include "internal/message_timing.h"
+
+#include <algorithm>
+
+namespace oriolehold::core::internal {
+
+namespace {
+
+constexpr int sequenceCount = 256;
+// Share of the exchange lifetime that one message ID uses up.
+constexpr duration messageIdCost = duration { exchangeLifetime } / sequenceCount;
+
+} // namespace
+
+std::uint16_t message_id_allocator::allocate(const endpoint &caller, time_point now,
+                                             const std::function<bool(std::uint16_t)> &isUsed)
+{
+    const auto [found, inserted] = m_sequences.try_emplace(caller);
+    sequence &item = found->second;
+    if (inserted) {
+        // A random start, because a former incarnation may have used the first numbers.
+        item.next = static_cast<std::uint8_t>(m_random.below(sequenceCount));
+        item.spent = now;
+        m_expiry.emplace_back(now + exchangeLifetime, caller);
+    }
+    item.lastUse = now;
+    item.spent = std::max(item.spent, now) + messageIdCost;
+    auto messageId = static_cast<std::uint16_t>(m_index << 8 | item.next++);
+    for (int i = 1; i < sequenceCount && isUsed(messageId); ++i)
+        messageId = static_cast<std::uint16_t>(m_index << 8 | item.next++);
+    return messageId;
+}
+
+time_point message_id_allocator::available(const endpoint &caller) const
+{
+    const auto found = m_sequences.find(caller);
+    if (found == m_sequences.end())
+        return time_point::min();
+    return found->second.spent - exchangeLifetime + messageIdCost;
+}
+
+void message_id_allocator::expire(time_point now)
+{
+    while (!m_expiry.empty() && m_expiry.front().first <= now) {
+        const endpoint caller = m_expiry.front().second;
+        m_expiry.pop_front();
+        const auto found = m_sequences.find(caller);
+        if (found == m_sequences.end())
+            continue;
+        const time_point expiry = found->second.lastUse + exchangeLifetime;
+        if (expiry <= now)
+            m_sequences.erase(found);
+        else
+            m_expiry.emplace_back(now + exchangeLifetime, caller);
+    }
+}
+
+} // namespace oriolehold::core::internal
