--- /dev/null
+++ b/scripts/demo_report.py
@@ -0,0 +1,207 @@
+"""Compares the records of callers and upstreams of a demo run."""
+
+import collections
+import json
+import math
+
+# Windows in which a service uses less of its capacity hold too few jobs to divide them evenly.
+LEAST_UTILIZATION = 0.1
+WINDOW_US = 1_000_000
+
+
+def read_records(path):
+    """JSON lines; a last line that was cut off when its writer was killed is left out."""
+    records = []
+    try:
+        with open(path, encoding="utf-8") as lines:
+            for line in lines:
+                try:
+                    records.append(json.loads(line))
+                except ValueError:
+                    continue
+    except FileNotFoundError:
+        pass
+    return records
+
+
+def percentile(values, share):
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, max(0, math.ceil(share * len(ordered)) - 1))]
+
+
+class JobLog:
+    """What the upstreams ran. Each upstream needs: service, records, slots, strength, address,
+    serving_from_us, serving_until_us, agent_kills_us."""
+
+    def __init__(self, upstreams):
+        self.upstreams = upstreams
+        self.starts = collections.defaultdict(list)  # upstreams by id of the request
+        self.intervals = []  # (upstream, start, end, work at strength 1)
+        self.sheds = 0
+        for upstream in upstreams:
+            self._read(upstream)
+
+    def _read(self, upstream):
+        running = {}
+        for record in read_records(upstream.records):
+            key = record["id"]
+            if record["event"] == "start":
+                self.starts[key].append(upstream)
+                running[key] = record
+            elif record["event"] == "shed":
+                self.sheds += 1
+            elif key in running:
+                start = running.pop(key)
+                self.intervals.append((upstream, start["time_us"], record["time_us"],
+                                       start["work_us"]))
+
+    def imbalances(self, service, start_us, end_us):
+        """Per window: largest load per unit of capacity over the mean of the service, minus 1."""
+        members = [upstream for upstream in self.upstreams if upstream.service == service]
+        loads = collections.defaultdict(lambda: collections.defaultdict(float))
+        for upstream, begin, end, work in self.intervals:
+            if upstream.service == service:
+                for window, share in spread(begin, end, start_us):
+                    loads[window][upstream.number] += work * share
+        result = []
+        for window in range((end_us - start_us) // WINDOW_US):
+            begin = start_us + window * WINDOW_US
+            serving = [upstream for upstream in members if upstream.serving_from_us is not None
+                       and upstream.serving_from_us <= begin
+                       and (upstream.serving_until_us is None
+                            or upstream.serving_until_us >= begin + WINDOW_US)]
+            if len(serving) < 2:
+                continue
+            capacity = {item.number: item.slots * item.strength * WINDOW_US for item in serving}
+            work = loads[window]
+            mean = sum(work[number] for number in capacity) / sum(capacity.values())
+            if mean >= LEAST_UTILIZATION:
+                largest = max(work[number] / capacity[number] for number in capacity)
+                result.append(largest / mean - 1)
+        return result
+
+
+def spread(begin, end, start_us):
+    """Shares of a job's work in each window from start_us on."""
+    length = max(1, end - begin)
+    first, last = (begin - start_us) // WINDOW_US, (max(end - 1, begin) - start_us) // WINDOW_US
+    for window in range(max(0, first), last + 1):
+        window_begin = start_us + window * WINDOW_US
+        overlap = min(end, window_begin + WINDOW_US) - max(begin, window_begin)
+        yield window, max(1 if length == 1 else 0, overlap) / length
+
+
+def owner_was_killed(feed, upstreams):
+    """Whether the agent that last served the feed before a kill was the one that was killed."""
+    for upstream in upstreams:
+        for kill_us in upstream.agent_kills_us:
+            owners = [address for time_us, address in feed["upstreams"] if time_us <= kill_us]
+            if owners and owners[-1] == upstream.address:
+                return True
+    return False
+
+
+def guide_owner_was_killed(guide, log):
+    return any(guide["start_us"] <= kill_us <= guide["end_us"]
+               for upstream in log.starts.get(guide["id"], ())
+               for kill_us in upstream.agent_kills_us)
+
+
+def is_broken_guide(guide):
+    """A download that began and had to start again or did not end."""
+    return guide["restarts"] > 0 or (guide["received"] > 0 and guide["outcome"] != "done")
+
+
+def is_broken_feed(feed):
+    return feed["broken"] or feed["outcome"] != "done"
+
+
+class Evaluation:
+    """The figures of a run, from its records."""
+
+    def __init__(self, caller_records, upstreams, start_us, end_us):
+        by_kind = collections.defaultdict(list)
+        for record in caller_records:
+            by_kind[record["kind"]].append(record)
+        self.orders, self.guides, self.feeds = (by_kind[kind]
+                                                for kind in ("order", "guide", "feed"))
+        self.requests = self.orders + self.guides
+        self.log = JobLog(upstreams)
+        self.start_us, self.end_us = start_us, end_us
+        self.outcomes = collections.Counter(record["outcome"] for record in self.requests)
+        self._find_faults(upstreams)
+
+    def _find_faults(self, upstreams):
+        log = self.log
+        broken_feeds = [feed for feed in self.feeds if is_broken_feed(feed)]
+        broken_guides = [guide for guide in self.guides if is_broken_guide(guide)]
+        owner_lost = [feed for feed in broken_feeds if owner_was_killed(feed, upstreams)]
+        owner_lost += [guide for guide in broken_guides if guide_owner_was_killed(guide, log)]
+        lost_ids = {record["id"] for record in owner_lost}
+        self.owner_lost_flows = owner_lost
+        self.broken_flows = [flow for flow in broken_feeds + broken_guides
+                             if flow["id"] not in lost_ids]
+        self.lost = [record for record in self.requests
+                     if record["outcome"] == "unanswered" and not record.get("canceled")]
+        self.lost += [order for order in self.orders
+                      if order["outcome"] == "done" and order["id"] not in log.starts]
+        self.doubled = [order for order in self.orders if len(log.starts.get(order["id"], ())) > 1]
+        self.wrong_service = [record for record in self.requests
+                              if any(upstream.service != record["service"]
+                                     for upstream in log.starts.get(record["id"], ()))]
+        self.wrong_service += [feed for feed in self.feeds if feed["wrong_service"] > 0]
+        self.ran_after_refusal = [order for order in self.orders
+                                  if order["outcome"] == "not_run" and order["id"] in log.starts]
+        self.incomplete = [record for record in self.requests if record["outcome"] == "done"
+                           and not (record["complete"] and record["right_answer"])]
+
+    def latencies_ms(self):
+        """Of answered orders that are not long by themselves."""
+        return [(order["end_us"] - order["start_us"]) / 1000 for order in self.orders
+                if order["outcome"] == "done" and not order["straggler"]]
+
+    def in_time_share(self):
+        """Share of the orders that were answered within their deadline, whatever the answer."""
+        answered = [order for order in self.orders if not order["canceled"]]
+        in_time = [order for order in answered if order["outcome"] != "unanswered"
+                   and order["end_us"] <= order["deadline_us"]]
+        return len(in_time) / len(answered) if answered else 1.0
+
+    def imbalances(self):
+        services = sorted({upstream.service for upstream in self.log.upstreams})
+        return {service: self.log.imbalances(service, self.start_us, self.end_us)
+                for service in services}
+
+    def faults(self, owner_loss_planned):
+        """Kinds of faults that fail the run."""
+        checked = {"lost": self.lost, "doubled": self.doubled,
+                   "wrong_service": self.wrong_service,
+                   "ran_after_refusal": self.ran_after_refusal,
+                   "incomplete_answers": self.incomplete}
+        if not owner_loss_planned:
+            checked["broken_flows"] = self.broken_flows
+        return {name: records for name, records in checked.items() if records}
+
+    def summary(self, packets):
+        latencies = self.latencies_ms()
+        pooled = [value for values in self.imbalances().values() for value in values]
+        seconds = max(1e-6, (self.end_us - self.start_us) / 1e6)
+        return {
+            "flows": len(self.feeds) + len(self.guides),
+            "broken_flows": len(self.broken_flows),
+            "owner_lost_flows": len(self.owner_lost_flows),
+            "requests": len(self.requests),
+            "done": self.outcomes["done"],
+            "not_run": self.outcomes["not_run"],
+            "unknown": self.outcomes["unknown"],
+            "lost": len(self.lost),
+            "doubled": len(self.doubled),
+            "wrong_service": len(self.wrong_service),
+            "ran_after_refusal": len(self.ran_after_refusal),
+            "incomplete_answers": len(self.incomplete),
+            "imbalance": round(percentile(pooled, 0.99), 3),
+            "packets_per_s": round(packets / seconds, 1),
+            "p50_ms": round(percentile(latencies, 0.5), 2),
+            "p99_ms": round(percentile(latencies, 0.99), 2)}
--- a/standins/caller/load_generator.h
+++ b/standins/caller/load_generator.h
@@ -63,6 +63,8 @@
     // Starts everything that is due. Feeds start spread over the first second.
     void advance(std::int64_t nowUs);
     std::int64_t nextTimer() const;
+    // Starts nothing new from now on.
+    void end(std::int64_t nowUs) { m_endUs = nowUs; }
     // A refused order may be followed by a new one.
     void replaceRefused(const order &refused, std::int64_t nowUs);
 
