--- a/standins/caller/guide.cpp
+++ b/standins/caller/guide.cpp
@@ -20,6 +20,8 @@
 {
     m_startUs = nowUs;
     m_deadlineUs = nowUs + m_parameters.deadlineMs * 1000;
+    if (m_parameters.cancelUs >= 0)
+        m_cancelUs = nowUs + m_parameters.cancelUs;
     requestBlock(nowUs);
 }
 
@@ -33,19 +35,36 @@
     sendRequest();
 }
 
-void guide::sendRequest()
+outgoing_request guide::makeRequest() const
 {
     outgoing_request request;
     request.path = { m_parameters.path, m_parameters.id };
     request.queries = { "id=" + m_parameters.id, "size=" + std::to_string(m_parameters.size),
                         "work=" + std::to_string(m_parameters.workUs),
                         "deadline=" + std::to_string(m_parameters.deadlineMs) };
+    request.token = m_token;
+    request.echo = m_echo;
+    return request;
+}
+
+void guide::sendRequest()
+{
+    outgoing_request request = makeRequest();
     coap_block_t block {};
     block.szx = m_blockExponent & 7U;
     block.num = static_cast<unsigned>(m_body.size() >> (m_blockExponent + 4));
     request.block2 = block;
-    request.token = m_token;
-    request.echo = m_echo;
+    m_sender.send(m_session, request);
+}
+
+void guide::cancel()
+{
+    m_cancelUs = INT64_MAX;
+    if (m_echo.empty() || !m_body.empty())
+        return;
+    m_canceled = true;
+    outgoing_request request = makeRequest();
+    request.observe = COAP_OBSERVE_CANCEL;
     m_sender.send(m_session, request);
 }
 
@@ -111,6 +130,8 @@
         return;
     if (nowUs >= m_deadlineUs + answerGraceUs) {
         finish("unanswered", nowUs);
+    } else if (nowUs >= m_cancelUs) {
+        cancel();
     } else if (nowUs >= m_nextResendUs) {
         m_nextResendUs = nowUs + resendIntervalUs;
         ++m_resends;
@@ -120,7 +141,7 @@
 
 std::int64_t guide::nextTimer() const
 {
-    return std::min(m_nextResendUs, m_deadlineUs + answerGraceUs);
+    return std::min({ m_nextResendUs, m_cancelUs, m_deadlineUs + answerGraceUs });
 }
 
 void guide::finish(std::string outcome, std::int64_t nowUs)
@@ -144,6 +165,7 @@
              { "end_us", m_endUs },
              { "deadline_us", m_deadlineUs },
              { "work_us", m_parameters.workUs },
+             { "canceled", m_canceled },
              { "received", m_body.size() },
              { "restarts", m_restarts },
              { "resends", m_resends } };
--- a/standins/caller/guide.h
+++ b/standins/caller/guide.h
@@ -11,11 +11,13 @@
     std::string path;
     std::int64_t workUs = 0;
     std::int64_t deadlineMs = 0;
-    std::size_t size = 0; // bytes
+    std::size_t size = 0;       // bytes
+    std::int64_t cancelUs = -1; // time after the start at which the caller gives up; -1: never
 };
 
 // One download, block by block (RFC 7959). Each block is requested with the Echo of the last
-// response. A 4.08 or another ETag starts the download again.
+// response. A 4.08 or another ETag starts the download again. A caller that gives up before the
+// first block says so with a GET with Observe 1 and the token of its request.
 class guide final : public exchange
 {
 public:
@@ -31,7 +33,9 @@
 
 private:
     void requestBlock(std::int64_t nowUs);
+    outgoing_request makeRequest() const;
     void sendRequest();
+    void cancel();
     void receiveBlock(const incoming_response &response, std::int64_t nowUs);
     void restart(std::int64_t nowUs);
     void finish(std::string outcome, std::int64_t nowUs);
@@ -51,6 +55,8 @@
     std::int64_t m_endUs = 0;
     std::int64_t m_deadlineUs = 0;
     std::int64_t m_nextResendUs = 0;
+    std::int64_t m_cancelUs = INT64_MAX;
+    bool m_canceled = false;
     std::string m_outcome;
     std::string m_code;
     std::string m_payload;
--- a/standins/caller/load_generator.cpp
+++ b/standins/caller/load_generator.cpp
@@ -12,7 +12,7 @@
 constexpr std::int64_t feedStartSpreadUs = 1'000'000;
 // Long orders have a deadline this many times longer, so that they can be done.
 constexpr std::int64_t stragglerPatience = 10;
-// A caller that gives up does so within this time after it has sent its order.
+// A caller that gives up does so within this time after its start.
 constexpr std::int64_t longestPatienceUs = 60'000;
 
 } // namespace
@@ -133,7 +133,10 @@
                                   m_options.names.guidePath,
                                   randomWork(m_options.guideWorkUs),
                                   m_options.guideDeadlineMs,
-                                  m_options.guideBytes };
+                                  m_options.guideBytes,
+                                  -1 };
+    if (happens(m_options.cancelShare))
+        parameters.cancelUs = static_cast<std::int64_t>(m_random() % longestPatienceUs);
     coap_session_t *session = m_runner.session(randomCaller(), m_options.addresses.at(service));
     m_runner.add(std::make_unique<guide>(std::move(parameters), session, m_runner), nowUs);
 }
--- a/standins/caller/main.cpp
+++ b/standins/caller/main.cpp
@@ -85,8 +85,8 @@
     real stragglerFactor("", "straggler-factor", "work of long orders", false, 100, "factor", line);
     text burst("", "burst", "surge of demand", false, "", "factor,start,length", line);
     TCLAP::SwitchArg duplicates("", "duplicate-orders", "send each order packet twice", line);
-    real cancels("", "cancel-share", "share of orders that callers give up", false, 0, "share",
-                 line);
+    real cancels("", "cancel-share", "share of orders and guides that callers give up", false, 0,
+                 "share", line);
     number retries("", "retries", "new orders after a refusal", false, 0, "count", line);
     number ackTimeout("", "ack-timeout-ms", "ACK_TIMEOUT (RFC 7252)", false, 2000, "ms", line);
     line.parse(argc, argv);
