--- a/packages/core/src/agent_implementation.cpp
+++ b/packages/core/src/agent_implementation.cpp
@@ -26,7 +26,7 @@
 agent_core::implementation::implementation(agent_core_options options, agent_actions &actions,
                                            slot_scheduler &scheduler, random_source &random,
                                            admission_policy *admission)
-    : m_options(std::move(options)), m_actions(actions),
+    : m_options(options), m_actions(actions),
       m_issuer(m_options.upstream, m_options.incarnation, random),
       m_channel(actions, random, m_options.entrySilence), m_responder(m_channel, m_issuer),
       m_jobs(jobOptions(m_options), actions, scheduler,
@@ -37,15 +37,15 @@
 
 bool agent_core::implementation::configure(configuration_pointer configuration, time_point now)
 {
-    if (m_configuration && configuration->generation() <= m_configuration->generation())
+    if (configuration->generation() <= m_generation)
         return false;
+    m_generation = configuration->generation();
     const upstream *self = configuration->findUpstream(m_options.upstream);
     if (self == nullptr) {
-        // The document dropped this upstream before it was drained. The former configuration keeps
+        // The document does not contain this upstream any more. The former configuration keeps
         // serving the open flows until they have moved or ended.
-        if (m_configuration)
-            drain(now);
-        return false;
+        drain(now);
+        return true;
     }
     m_started = m_started.value_or(now);
     // The former configuration stays alive until every part has the new one.
@@ -97,7 +97,7 @@
 
 void agent_core::implementation::drain(time_point now)
 {
-    if (m_drainStarted || m_self == nullptr)
+    if (m_drainStarted)
         return;
     m_drainStarted = now;
     m_responder.drain();
@@ -133,6 +133,7 @@
     agent_report result;
     result.upstream = m_options.upstream;
     result.incarnation = m_options.incarnation;
+    result.generation = m_generation;
     if (m_self == nullptr)
         return result;
     const bool warm = m_started && now - *m_started >= m_options.warmUp;
@@ -146,7 +147,7 @@
     result.connections = saturated<std::uint32_t>(connections());
     result.meanServiceTime = m_jobs.estimator().mean();
     result.expectedWait = jobs.expectedWait(0, result.meanServiceTime, now);
-    result.generation = m_configuration->generation();
+
     return result;
 }
 
--- a/packages/core/src/agent_receive.cpp
+++ b/packages/core/src/agent_receive.cpp
@@ -120,7 +120,8 @@
                               : m_issuer.issue(packet.caller, packet.now);
         options.echo = echo;
     }
-    options.messageId = message.messageId();
+    options.messageId =
+            static_cast<std::uint16_t>(m_self->index << 8 | (message.messageId() & 0xff));
     const coap::message_builder reply = buildDiagnostic(message, code, options);
     if (!reply.ok() || exceedsAmplificationLimit(reply.bytes().size(), message.bytes().size())) {
         drop(result_code::amplificationLimit);
--- a/packages/core/src/entry_selector.cpp
+++ b/packages/core/src/entry_selector.cpp
@@ -4,6 +4,16 @@
 
 namespace oriolehold::core::internal {
 
+namespace {
+
+// Entries that were sampled for a delivery. Bounds the cost with hundreds of entries; the chance
+// to miss the only other one of two entries is 2^-32.
+constexpr int maxSamples = 32;
+// An entry may forward packets before this agent knows it from the configuration.
+constexpr std::size_t maxEntries = 4096;
+
+} // namespace
+
 void entry_selector::configure(std::span<const entry_instance> entries)
 {
     m_entries.clear();
@@ -19,7 +29,7 @@
     const auto found = m_lastHeard.find(entry);
     if (found != m_lastHeard.end())
         found->second = now;
-    else if (std::ranges::find(m_entries, entry) != m_entries.end())
+    else if (m_lastHeard.size() < maxEntries)
         m_lastHeard.emplace(entry, now);
 }
 
@@ -30,17 +40,18 @@
 
 endpoint entry_selector::chooseOther(const endpoint &former, time_point now)
 {
-    const auto pick = [&](auto &&accepts) {
-        const auto count = std::ranges::count_if(m_entries, accepts);
-        if (count == 0)
-            return former;
-        auto skip = m_random.below(static_cast<std::uint64_t>(count));
-        return *std::ranges::find_if(
-                m_entries, [&](const endpoint &entry) { return accepts(entry) && skip-- == 0; });
-    };
-    const endpoint heard =
-            pick([&](const endpoint &entry) { return entry != former && !isSilent(entry, now); });
-    return heard != former ? heard : pick([&](const endpoint &entry) { return entry != former; });
+    if (m_entries.empty())
+        return former;
+    std::optional<endpoint> silent;
+    for (int i = 0; i < maxSamples; ++i) {
+        const endpoint &candidate = m_entries[m_random.below(m_entries.size())];
+        if (candidate == former)
+            continue;
+        if (!isSilent(candidate, now))
+            return candidate;
+        silent = candidate;
+    }
+    return silent.value_or(former);
 }
 
 bool entry_selector::isSilent(const endpoint &entry, time_point now) const
--- a/packages/core/src/feed_service.cpp
+++ b/packages/core/src/feed_service.cpp
@@ -14,6 +14,10 @@
 // A silent caller is detected by a confirmable notification at least this often.
 constexpr int confirmableEvery = 16; // notifications
 constexpr std::chrono::seconds confirmableInterval { 20 };
+// An owner that could not notify for this many keep-alive intervals, because its process was
+// paused, gives the feed up: the caller has registered with another agent meanwhile, and a feed has
+// one owner only.
+constexpr int lapsedIntervals = 3;
 
 } // namespace
 
@@ -113,6 +117,10 @@
     feed *item = m_feeds.find(id);
     if (item == nullptr || item->frozen)
         return;
+    if (item->content != nullptr && hasLapsed(*item, now)) {
+        remove(id);
+        return;
+    }
     item->content = std::make_shared<const byte_vector>(content.begin(), content.end());
     if (item->registrations.empty()) {
         publish(*item, now);
@@ -183,10 +191,11 @@
     m_receiver.advance(now);
 }
 
-std::optional<feed_state> feed_service::stateOf(feed_id id) const
+std::optional<feed_state> feed_service::stateOf(feed_id id, time_point now) const
 {
     const feed *item = m_feeds.find(id);
-    return item == nullptr ? std::nullopt : std::optional(item->state);
+    const bool owned = item != nullptr && (item->content == nullptr || !hasLapsed(*item, now));
+    return owned ? std::optional(item->state) : std::nullopt;
 }
 
 void feed_service::freeze(feed_id id, upstream_id newOwner, time_point now)
@@ -234,10 +243,11 @@
             owner == nullptr ? nullptr : findClass(*owner, request_method::get, state.path);
     added.className = requestClass == nullptr ? std::string() : requestClass->name;
     added.registered = now;
-    added.deadline = never;
+    added.deadline = now + lapsedIntervals * m_options.keepAlive;
     added.lastSent = now;
     added.lastConfirmable = time_point {}; // the first notification is confirmable
     const feed_id id = added.id;
+    schedule(added);
     m_actions.startFeed(id, added.state);
     if (m_draining)
         m_sender.start(id, now);
@@ -349,6 +359,8 @@
 {
     if (item.content == nullptr)
         endWith(item, result_code::upstreamTimeout, now);
+    else if (hasLapsed(item, now))
+        remove(item.id);
     else if (item.changed && m_channel.available(item.state.caller) > now
              && now < item.lastSent + m_options.keepAlive)
         schedule(item);
@@ -356,6 +368,11 @@
         notify(item, now);
 }
 
+bool feed_service::hasLapsed(const feed &item, time_point now) const
+{
+    return now - item.lastSent > lapsedIntervals * m_options.keepAlive;
+}
+
 response feed_service::contentOf(const feed &item, time_point now)
 {
     response value;
--- a/packages/core/src/handover_sender.cpp
+++ b/packages/core/src/handover_sender.cpp
@@ -81,7 +81,7 @@
     while (!m_waiting.empty() && m_transfers.size() < maxTransfers) {
         const feed_id feed = m_waiting.front();
         m_waiting.pop_front();
-        if (!m_source.stateOf(feed))
+        if (!m_source.stateOf(feed, now))
             continue;
         transfer item;
         item.feed = feed;
@@ -93,7 +93,7 @@
 
 void handover_sender::offer(std::uint64_t id, transfer &item, time_point now)
 {
-    const std::optional<feed_state> state = m_source.stateOf(item.feed);
+    const std::optional<feed_state> state = m_source.stateOf(item.feed, now);
     if (!state) {
         finish(id, now);
         return;
@@ -127,7 +127,7 @@
 void handover_sender::commit(std::uint64_t id, transfer &item, time_point now)
 {
     const target *owner = findTarget(item.target);
-    const std::optional<feed_state> state = m_source.stateOf(item.feed);
+    const std::optional<feed_state> state = m_source.stateOf(item.feed, now);
     if (!state) {
         finish(id, now); // the accepted offer expires
         return;
--- a/packages/core/src/internal/agent_implementation.h
+++ b/packages/core/src/internal/agent_implementation.h
@@ -66,7 +66,8 @@
     internal::job_service m_jobs;
     internal::feed_service m_feeds;
     configuration_pointer m_configuration;
-    const upstream *m_self = nullptr;
+    const upstream *m_self = nullptr; // in m_configuration
+    generation_number m_generation = 0;
     std::optional<time_point> m_started;
     std::optional<time_point> m_drainStarted;
     std::map<result_code, std::uint64_t> m_dropped;
--- a/packages/core/src/internal/entry_selector.h
+++ b/packages/core/src/internal/entry_selector.h
@@ -2,6 +2,7 @@
 
 #include "oriolehold/core/configuration.h"
 
+#include <optional>
 #include <unordered_map>
 
 // Chooses the entry instance that delivers a message to a caller.
--- a/packages/core/src/internal/feed_service.h
+++ b/packages/core/src/internal/feed_service.h
@@ -48,7 +48,7 @@
     void advance(time_point now);
 
 private:
-    std::optional<feed_state> stateOf(feed_id id) const override;
+    std::optional<feed_state> stateOf(feed_id id, time_point now) const override;
     void freeze(feed_id id, upstream_id newOwner, time_point now) override;
     void release(feed_id id) override;
     bool canAdopt(const feed_state &state) const override;
@@ -61,6 +61,7 @@
     void remove(feed_id id);
     void schedule(feed &item);
     void runTimer(feed &item, time_point now);
+    bool hasLapsed(const feed &item, time_point now) const;
     // Response with the latest state, block-wise when it is larger than one block.
     response contentOf(const feed &item, time_point now);
     std::uint32_t maxAge() const;
--- a/packages/core/src/internal/handover_sender.h
+++ b/packages/core/src/internal/handover_sender.h
@@ -17,7 +17,7 @@
 public:
     virtual ~handover_source() = default;
     // State of a feed, empty when it has ended.
-    virtual std::optional<feed_state> stateOf(feed_id feed) const = 0;
+    virtual std::optional<feed_state> stateOf(feed_id feed, time_point now) const = 0;
     // From now on the other upstream owns the feed. Nothing may be sent for it any more.
     virtual void freeze(feed_id feed, upstream_id newOwner, time_point now) = 0;
     // The new owner has taken the feed.
--- /dev/null
+++ b/packages/core/tests/request_ledger_test.cpp
@@ -0,0 +1,100 @@
+#include "internal/request_ledger.h"
+
+#include "oriolehold/core/invariant.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace oriolehold::core;
+using namespace oriolehold::core::internal;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint32_t start = 1'700'000'000;
+constexpr request_digest digest { 1 };
+
+int violations = 0;
+
+void countViolation(std::string_view, const char *, int)
+{
+    ++violations;
+}
+
+time_point at(std::uint32_t seconds)
+{
+    return time_point { std::chrono::seconds { seconds } };
+}
+
+} // namespace
+
+TEST_GROUP(request_ledger)
+{
+    request_ledger ledger { { 2, 1000, 120s } };
+
+    bool queue(const ticket_key &key)
+    {
+        return ledger.queue(key, digest, job_id { 1 });
+    }
+    ticket_verdict verdict(const ticket_key &key) const
+    {
+        return ledger.lookup(key, digest).verdict;
+    }
+};
+
+TEST(request_ledger, FullLedgerRefusesATicketForEver)
+{
+    CHECK_TRUE(queue({ start, 1 }));
+    CHECK_TRUE(queue({ start, 2 }));
+    CHECK_FALSE(queue({ start + 10, 3 }));
+    ledger.dispatch({ start, 1 });
+    ledger.finish({ start, 1 }, {});
+    ledger.dispatch({ start, 2 });
+    ledger.finish({ start, 2 }, {});
+    ledger.expire(at(start + 126)); // there is room again
+
+    CHECK_EQUAL(0, ledger.size());
+    CHECK_TRUE(verdict({ start + 10, 3 }) == ticket_verdict::refused);
+    CHECK_TRUE(verdict({ start + 9, 4 }) == ticket_verdict::refused);
+    CHECK_TRUE(verdict({ start + 11, 5 }) == ticket_verdict::fresh);
+}
+
+TEST(request_ledger, RefusalsMakeRoomAndStayRefused)
+{
+    ledger.refuse({ start, 1 }, digest, result_code::queueFull);
+    ledger.refuse({ start + 1, 2 }, digest, result_code::queueFull);
+    CHECK_TRUE(queue({ start + 2, 3 }));
+
+    CHECK_EQUAL(2, ledger.size());
+    CHECK_TRUE(verdict({ start, 1 }) == ticket_verdict::refused);
+    CHECK_TRUE(verdict({ start + 1, 2 }) == ticket_verdict::known);
+    CHECK_TRUE(verdict({ start + 2, 4 }) == ticket_verdict::fresh);
+}
+
+TEST(request_ledger, ForgottenTicketStaysExpiredWhenTheLifetimeGrows)
+{
+    CHECK_TRUE(queue({ start, 1 }));
+    ledger.dispatch({ start, 1 });
+    ledger.finish({ start, 1 }, {});
+    ledger.expire(at(start + 125));
+    CHECK_TRUE(verdict({ start, 1 }) == ticket_verdict::known);
+    ledger.expire(at(start + 126));
+    ledger.setTicketLifetime(1000s);
+    ledger.expire(at(start + 127));
+
+    CHECK_TRUE(verdict({ start, 1 }) == ticket_verdict::expired);
+}
+
+TEST(request_ledger, ViolationsOfItsInvariantsAreReported)
+{
+    violations = 0;
+    const invariant_handler former = setInvariantHandler(countViolation);
+    queue({ start, 1 });
+    ledger.dispatch({ start, 1 });
+    ledger.dispatch({ start, 1 }); // twice
+    CHECK_EQUAL(1, violations);
+    ledger.refuseQueued({ start, 1 }, result_code::canceled); // not-run although dispatched
+    CHECK_EQUAL(2, violations);
+    ledger.dispatch({ start, 1 }); // a refused ticket; also not queued
+    CHECK_EQUAL(4, violations);
+    setInvariantHandler(former);
+}
