Add agent daemon and randomised runs; the whole path runs as separate processes

Cause: the cores need sockets, and the promises need long runs with faults. Ruled out: a cluster simulator; the run drives the pure cores through small models of callers and upstreams.

--- /dev/null
+++ b/packages/agent/include/oriolehold/agent/agent_daemon.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "oriolehold/admin/admin_server.h"
+#include "oriolehold/agent/traffic_worker.h"
+#include "oriolehold/daemon/managed_process.h"
+#include "oriolehold/platform/configuration_watch.h"
+#include "oriolehold/platform/settings.h"
+
+#include <atomic>
+#include <optional>
+#include <thread>
+
+// The process beside one upstream: one traffic thread, one control thread and the administration
+// server.
+
+namespace oriolehold::agent {
+
+class agent_daemon final : public daemon::managed_process, private admin::status_source
+{
+public:
+    // Opens all sockets; throws std::system_error when an address cannot be bound.
+    explicit agent_daemon(const platform::agent_settings &settings);
+    ~agent_daemon() override;
+
+    void start() override;
+    void drain() override;
+    bool drained() const override;
+    void stop() override;
+
+private:
+    bool ready() const override;
+    std::string metrics() const override;
+    std::string state() const override;
+    std::string document() const override;
+    bool drainEnabled() const override { return !m_settings.drainKey.empty(); }
+    bool drain(std::string_view key) override;
+
+    platform::agent_settings m_settings;
+    traffic_worker m_worker;
+    std::thread m_trafficThread;
+    platform::configuration_watch m_watch;
+    admin::admin_server m_admin;
+    std::atomic<bool> m_draining { false };
+};
+
+// Checks the name of the scheduler.
+std::optional<platform::settings_error> checkNames(const platform::agent_settings &settings);
+
+} // namespace oriolehold::agent
--- a/packages/platform/include/oriolehold/platform/settings.h
+++ b/packages/platform/include/oriolehold/platform/settings.h
@@ -63,7 +63,7 @@
     core::endpoint admin;
     std::string drainKey;              // empty: no drain over HTTP
     std::vector<core::endpoint> peers; // admin addresses of other processes
-    std::string scheduler = "default";
+    std::string scheduler = "priority-lanes";
     std::size_t maxQueued = 256;
     std::size_t maxLedger = 100000;
     std::chrono::seconds drainLimit { 30 };
--- /dev/null
+++ b/packages/random_run/include/oriolehold/random_run/caller_model.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "oriolehold/coap/message.h"
+#include "oriolehold/random_run/history.h"
+#include "oriolehold/random_run/virtual_network.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+// Callers as CoAP clients: retransmission, Echo, separate responses, blocks and observation.
+
+namespace oriolehold::random_run {
+
+// What all callers of a run share.
+struct caller_context
+{
+    virtual_time &time;
+    core::random_source &random;
+    history &records;
+    // Sends a packet of the caller towards the address of the service.
+    std::function<void(const core::endpoint &caller, core::service_id service,
+                       core::byte_vector packet)>
+            send;
+};
+
+class caller
+{
+public:
+    caller(caller_context &context, core::endpoint address, core::service_id service)
+        : m_context(context), m_address(address), m_service(service)
+    { }
+    virtual ~caller() = default;
+    virtual void start() = 0;
+    virtual void receive(core::byte_view packet) = 0;
+
+protected:
+    core::byte_vector newToken();
+    std::uint16_t newMessageId() { return m_nextMessageId++; }
+    void send(core::byte_vector packet) { m_context.send(m_address, m_service, std::move(packet)); }
+    // Sends a confirmable packet again with doubled intervals until stopRetransmission(); runs
+    // onGiveUp after the last interval.
+    void sendReliably(core::byte_vector packet, std::function<void()> onGiveUp);
+    void stopRetransmission() { ++m_transmission; }
+    void acknowledge(const coap::message_view &message);
+    // Remembers the Echo option of a response.
+    void rememberEcho(const coap::message_view &message);
+
+    caller_context &m_context;
+    core::endpoint m_address;
+    core::service_id m_service;
+    core::byte_vector m_echo;
+
+private:
+    void retransmit(const core::byte_vector &packet, std::uint64_t transmission, int attempt,
+                    const std::function<void()> &onGiveUp);
+
+    std::uint16_t m_nextMessageId = 1;
+    std::uint64_t m_transmission = 0;
+};
+
+// Sends one non-idempotent request and repeats it with the same Echo when the answer is missing.
+class order_caller final : public caller
+{
+public:
+    order_caller(caller_context &context, core::endpoint address, core::service_id service,
+                 std::string id);
+    void start() override;
+    void receive(core::byte_view packet) override;
+
+private:
+    void sendOrder();
+    void handleAnswer(const coap::message_view &message);
+    void giveUp();
+
+    std::string m_id;
+    core::byte_vector m_token;
+    int m_challenges = 0;
+    int m_repeats = 0;
+    bool m_finished = false;
+};
+
+// Downloads one large body block by block.
+class guide_caller final : public caller
+{
+public:
+    guide_caller(caller_context &context, core::endpoint address, core::service_id service,
+                 std::string id, std::size_t size);
+    void start() override;
+    void receive(core::byte_view packet) override;
+
+    // The content that the upstream model returns for a guide.
+    static core::byte_vector content(std::string_view id, std::size_t size);
+
+private:
+    void requestBlock();
+    void handleBlock(const coap::message_view &message);
+    void fail();
+
+    std::string m_id;
+    std::size_t m_size;
+    core::byte_vector m_token;
+    core::byte_vector m_body;
+    core::byte_vector m_etag;
+    std::uint32_t m_nextBlock = 0;
+    int m_restarts = 0;
+    int m_challenges = 0;
+    bool m_finished = false;
+};
+
+// Keeps one observation open until the end of the run.
+class feed_caller final : public caller
+{
+public:
+    feed_caller(caller_context &context, core::endpoint address, core::service_id service,
+                std::string id);
+    void start() override;
+    void receive(core::byte_view packet) override;
+
+private:
+    void registerFeed();
+    void handleNotification(const coap::message_view &message);
+    void checkSilence();
+    // The feed ended although the caller did not end it; registers again.
+    void breakAndRegister();
+
+    std::string m_id;
+    core::byte_vector m_token;
+    bool m_open = false;
+    bool m_hasSequence = false;
+    std::uint32_t m_sequence = 0;
+    core::time_point m_lastNotification;
+    core::time_point m_lastRegistration;
+};
+
+} // namespace oriolehold::random_run
--- /dev/null
+++ b/packages/random_run/include/oriolehold/random_run/upstream_model.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "oriolehold/core/agent_core.h"
+#include "oriolehold/random_run/history.h"
+#include "oriolehold/random_run/virtual_network.h"
+
+#include <functional>
+#include <map>
+#include <set>
+
+// The upstream beside an agent: slots, speed, shedding and feeds.
+
+namespace oriolehold::random_run {
+
+// Where the model sends its results; runs on the agent's node.
+struct upstream_sink
+{
+    std::function<void(core::job_id, const core::upstream_answer &)> completeJob;
+    std::function<void(core::feed_id, core::byte_view)> updateFeed;
+};
+
+class upstream_model
+{
+public:
+    upstream_model(virtual_time &time, core::random_source &random, history &records,
+                   const core::upstream &description, double shedProbability, upstream_sink sink);
+
+    void startJob(const core::upstream_request &request);
+    void cancelJob(core::job_id job);
+    void startFeed(core::feed_id feed);
+    void stopFeed(core::feed_id feed) { m_feeds.erase(feed); }
+    // Ends everything; nothing is reported afterwards.
+    void kill() { m_alive = false; }
+
+private:
+    void run(const core::upstream_request &request);
+    void finish(core::job_id job, const core::upstream_answer &answer);
+    core::duration workTime(const core::upstream_request &request);
+    void publishFeeds();
+
+    virtual_time &m_time;
+    core::random_source &m_random;
+    history &m_records;
+    core::upstream m_description;
+    double m_shedProbability;
+    upstream_sink m_sink;
+    std::set<core::job_id> m_running;
+    std::set<core::feed_id> m_feeds;
+    std::uint64_t m_state = 0;
+    bool m_alive = true;
+};
+
+} // namespace oriolehold::random_run
--- /dev/null
+++ b/packages/random_run/src/world.cpp
@@ -0,0 +1,291 @@
+#include "world.h"
+
+#include "oriolehold/core/invariant.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace oriolehold::random_run {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr core::service_id ordersService { 1 };
+constexpr core::service_id catalogService { 2 };
+constexpr std::uint32_t callerNetwork = 0x0a000000; // 10.0.0.0
+constexpr std::uint16_t port = 5683;
+constexpr std::size_t guideSize = 20'000; // bytes
+constexpr core::duration advanceInterval = 5ms;
+// Longest time until a process puts a published document into effect.
+constexpr core::duration longestPublication = 2s;
+constexpr core::duration settleTime = 40s; // without changes or new work at the end
+
+core::service makeService(core::service_id id)
+{
+    core::service service;
+    service.id = id;
+    service.tenant = "manao";
+    service.address = { 0x0a0a0000u + core::toInteger(id), port };
+    if (id == ordersService) {
+        service.name = "orders";
+        service.classes = {
+            { "order", core::class_kind::request, core::request_method::post, "orders", false, 0,
+              5s },
+            { "feed", core::class_kind::feed, core::request_method::get, "stock", true, 0, 5s },
+        };
+    } else {
+        service.name = "catalog";
+        service.classes = {
+            { "guide", core::class_kind::download, core::request_method::get, "guides", true, 1,
+              10s },
+        };
+    }
+    return service;
+}
+
+} // namespace
+
+world::world(const run_options &options)
+    : m_options(options), m_random(options.seed),
+      m_time(core::time_point { std::chrono::hours { 24 * 365 * 50 } }),
+      m_network(m_time, m_random), m_callerContext {
+          m_time, m_random, m_history,
+          [this](const core::endpoint &caller, core::service_id service,
+                 const core::byte_vector &packet) { sendFromCaller(caller, service, packet); }
+      }
+{
+    createInitialSystem();
+}
+
+void world::createInitialSystem()
+{
+    m_fabric = m_network.addNode("fabric");
+    m_content.services = { makeService(ordersService), makeService(catalogService) };
+    rotateKeys();
+    for (int i = 0; i < 3; ++i)
+        addEntry();
+    for (int i = 0; i < 4; ++i)
+        addUpstream();
+    // The first processes start with the whole system published.
+    publish();
+    for (const auto &[address, entry] : m_entries)
+        entry->configure(m_published);
+    for (const auto &[address, agent] : m_agents)
+        agent->configure(m_published);
+}
+
+run_result world::run()
+{
+    startTraffic();
+    scheduleSteps();
+    m_time.after(advanceInterval, [this] { advanceProcesses(); });
+    m_time.runUntil(m_time.now() + m_options.length + settleTime);
+    m_result.totals = m_history.totals();
+    return m_result;
+}
+
+entry_process *world::entryAt(const core::endpoint &address)
+{
+    const auto found = m_entries.find(address);
+    return found == m_entries.end() ? nullptr : found->second;
+}
+
+agent_process *world::agentAt(const core::endpoint &address)
+{
+    const auto found = m_agents.find(address);
+    return found == m_agents.end() ? nullptr : found->second;
+}
+
+node_id world::nodeOfEntry(const core::endpoint &address)
+{
+    const entry_process *entry = entryAt(address);
+    return entry == nullptr ? node_id::none : entry->node();
+}
+
+node_id world::nodeOfAgent(const core::endpoint &address)
+{
+    const agent_process *agent = agentAt(address);
+    return agent == nullptr ? node_id::none : agent->node();
+}
+
+core::endpoint world::moduloOwner(const core::endpoint &caller, core::service_id service) const
+{
+    std::vector<core::endpoint> live;
+    for (const core::upstream &item : m_content.upstreams) {
+        if (item.service == service && item.state == core::upstream_state::live)
+            live.push_back(item.agent);
+    }
+    return live[core::endpoint_hash()(caller) % live.size()];
+}
+
+void world::sendToCaller(node_id from, const core::endpoint &address, core::service_id /*service*/,
+                         const core::byte_vector &packet)
+{
+    m_network.transmit(
+            from, [this] { return m_fabric; },
+            [this, address, packet] { m_callers.at(address)->receive(packet); });
+}
+
+void world::sendFromCaller(const core::endpoint &address, core::service_id service,
+                           const core::byte_vector &packet)
+{
+    const core::endpoint entry = m_fabricEntries[m_random.below(m_fabricEntries.size())];
+    m_network.transmit(
+            m_fabric, [this, entry] { return nodeOfEntry(entry); },
+            [this, entry, address, service, packet] {
+                entryAt(entry)->receiveFromCaller(address, service, packet);
+            });
+}
+
+void world::publish()
+{
+    ++m_content.generation;
+    m_published = std::make_shared<const core::configuration>(m_content);
+    applyLater(m_published);
+}
+
+void world::applyLater(const core::configuration_pointer &configuration)
+{
+    // Each process reads the document at its own time, so that views differ in between.
+    for (const auto &[address, entry] : m_entries)
+        m_time.after(randomDuration(100ms, longestPublication), [this, entry, configuration] {
+            m_network.runOn(entry->node(),
+                            [entry, configuration] { entry->configure(configuration); });
+        });
+    for (const auto &[address, agent] : m_agents)
+        m_time.after(randomDuration(100ms, longestPublication), [this, agent, configuration] {
+            m_network.runOn(agent->node(),
+                            [agent, configuration] { agent->configure(configuration); });
+        });
+}
+
+void world::startTraffic()
+{
+    for (int i = 0; i < m_options.feeds; ++i)
+        m_time.after(randomDuration(0s, 3s), [this] { addFeed(); });
+    scheduleArrivals(m_options.ordersPerSecond, [this] { addOrder(); });
+    scheduleArrivals(m_options.guidesPerSecond, [this] { addGuide(); });
+}
+
+void world::scheduleArrivals(double perSecond, std::function<void()> arrival)
+{
+    const double seconds = -std::log(1.0 - m_random.unit()) / perSecond;
+    const core::duration gap { static_cast<core::duration::rep>(seconds * 1e6) };
+    const core::time_point end =
+            core::time_point { std::chrono::hours { 24 * 365 * 50 } } + m_options.length;
+    if (m_time.now() + gap > end)
+        return;
+    m_time.after(gap, [this, perSecond, arrival] {
+        arrival();
+        scheduleArrivals(perSecond, arrival);
+    });
+}
+
+core::endpoint world::nextCallerAddress()
+{
+    return { callerNetwork + m_nextCaller++, port };
+}
+
+core::endpoint world::addCaller(std::unique_ptr<caller> client)
+{
+    const core::endpoint address { callerNetwork + m_nextCaller - 1, port };
+    m_callers[address] = client.get();
+    m_allCallers.push_back(std::move(client));
+    m_allCallers.back()->start();
+    return address;
+}
+
+void world::addOrder()
+{
+    const core::endpoint address = nextCallerAddress();
+    addCaller(std::make_unique<order_caller>(m_callerContext, address, ordersService,
+                                             "order-" + std::to_string(address.address)));
+}
+
+void world::addGuide()
+{
+    const core::endpoint address = nextCallerAddress();
+    addCaller(std::make_unique<guide_caller>(m_callerContext, address, catalogService,
+                                             "guide-" + std::to_string(address.address),
+                                             guideSize));
+}
+
+void world::addFeed()
+{
+    const core::endpoint address = nextCallerAddress();
+    addCaller(std::make_unique<feed_caller>(m_callerContext, address, ordersService,
+                                            "feed-" + std::to_string(address.address)));
+}
+
+void world::advanceProcesses()
+{
+    for (const auto &[address, entry] : m_entries) {
+        if (m_network.isRunning(entry->node()))
+            entry->advance();
+    }
+    for (const auto &[address, agent] : m_agents) {
+        if (m_network.isRunning(agent->node()))
+            agent->advance();
+    }
+    m_time.after(advanceInterval, [this] { advanceProcesses(); });
+}
+
+core::duration world::randomDuration(core::duration low, core::duration high)
+{
+    return low
+            + core::duration { static_cast<core::duration::rep>(
+                    m_random.below(static_cast<std::uint64_t>((high - low).count()) + 1)) };
+}
+
+core::service_id world::randomService()
+{
+    return m_random.below(2) == 0 ? ordersService : catalogService;
+}
+
+agent_process &world::startAgent(const core::upstream &description, core::incarnation incarnation)
+{
+    m_allAgents.push_back(std::make_unique<agent_process>(*this, description, incarnation));
+    agent_process &agent = *m_allAgents.back();
+    m_agents[description.agent] = &agent;
+    return agent;
+}
+
+entry_process &world::startEntry(const core::entry_instance &description)
+{
+    m_allEntries.push_back(std::make_unique<entry_process>(*this, description));
+    entry_process &entry = *m_allEntries.back();
+    m_entries[description.address] = &entry;
+    return entry;
+}
+
+agent_process *world::randomAgent()
+{
+    auto position = m_agents.begin();
+    std::advance(position, static_cast<std::ptrdiff_t>(m_random.below(m_agents.size())));
+    return position->second;
+}
+
+run_result runOnce(const run_options &options)
+{
+    world *current = nullptr;
+    static world *running = nullptr;
+    const auto throwViolation = [](std::string_view text, const char * /*file*/, int /*line*/) {
+        const auto now = running->time().now().time_since_epoch();
+        throw violation(std::string(text) + " at " + std::to_string(now.count()) + " us");
+    };
+    const core::invariant_handler previous = core::setInvariantHandler(throwViolation);
+    try {
+        world instance(options);
+        current = &instance;
+        running = current;
+        const run_result result = instance.run();
+        core::setInvariantHandler(previous);
+        return result;
+    } catch (...) {
+        core::setInvariantHandler(previous);
+        throw;
+    }
+}
+
+} // namespace oriolehold::random_run
--- /dev/null
+++ b/packages/random_run/src/world.h
@@ -0,0 +1,198 @@
+#pragma once
+
+#include "oriolehold/core/agent_core.h"
+#include "oriolehold/core/balancing_policy_factory.h"
+#include "oriolehold/core/entry_router.h"
+#include "oriolehold/core/slot_scheduler_factory.h"
+#include "oriolehold/random_run/caller_model.h"
+#include "oriolehold/random_run/random_run.h"
+#include "oriolehold/random_run/upstream_model.h"
+
+#include <map>
+#include <memory>
+#include <vector>
+
+// The processes of a randomised run and the way packets take between them.
+
+namespace oriolehold::random_run {
+
+class world;
+
+// Chooses the upstream that a hash of the caller over the live upstreams gives; a baseline.
+class modulo_policy final : public core::balancing_policy
+{
+public:
+    explicit modulo_policy(world &world) : m_world(world) { }
+
+    std::string_view name() const override { return "modulo"; }
+    std::size_t choose(std::span<const core::upstream_candidate> candidates,
+                       core::random_source &random) override;
+    void setFlow(const core::endpoint &caller, core::service_id service);
+
+private:
+    world &m_world;
+    core::endpoint m_caller;
+    core::service_id m_service {};
+};
+
+class entry_process
+{
+public:
+    entry_process(world &world, const core::entry_instance &description);
+
+    void configure(const core::configuration_pointer &configuration);
+    void receiveFromCaller(const core::endpoint &caller, core::service_id service,
+                           const core::byte_vector &packet);
+    void receiveDelivery(const core::endpoint &agent, const core::endpoint &caller,
+                         core::service_id service, const core::agent_report &report,
+                         const core::byte_vector &packet);
+    void receiveProbeReply(const core::endpoint &agent, const core::agent_report &report);
+    void advance();
+
+    const core::entry_instance &description() const { return m_description; }
+    node_id node() const { return m_node; }
+
+private:
+    void forward(const core::endpoint &agent, const core::endpoint &caller,
+                 core::service_id service, const core::byte_vector &packet);
+
+    world &m_world;
+    core::entry_instance m_description;
+    node_id m_node;
+    std::unique_ptr<core::balancing_policy> m_policy;
+    modulo_policy m_moduloPolicy;
+    core::entry_router m_router;
+    core::configuration_pointer m_configuration;
+};
+
+class agent_process final : private core::agent_actions
+{
+public:
+    agent_process(world &world, const core::upstream &description, core::incarnation incarnation);
+
+    void configure(const core::configuration_pointer &configuration);
+    void receive(const core::endpoint &entry, const core::endpoint &caller,
+                 core::service_id service, const core::byte_vector &packet);
+    void observeEntry(const core::endpoint &entry);
+    void receiveHandover(const core::endpoint &from, const core::handover_message &message);
+    void drain();
+    bool drained() const;
+    void kill();
+    void advance();
+
+    core::agent_report report() const;
+    core::incarnation incarnation() const { return m_incarnation; }
+    const core::upstream &description() const { return m_description; }
+    node_id node() const { return m_node; }
+
+private:
+    void deliver(const core::endpoint &entry, const core::endpoint &caller,
+                 core::service_id service, core::byte_view message) override;
+    void startJob(const core::upstream_request &request) override;
+    void cancelJob(core::job_id job) override;
+    void startFeed(core::feed_id feed, const core::feed_state &state) override;
+    void stopFeed(core::feed_id feed) override;
+    void sendHandover(const core::endpoint &agent, const core::handover_message &message) override;
+    void recordResult(std::string_view className, core::result_code code, core::duration wait,
+                      core::duration service, core::duration total) override;
+
+    world &m_world;
+    core::upstream m_description;
+    core::incarnation m_incarnation;
+    node_id m_node;
+    std::unique_ptr<core::slot_scheduler> m_scheduler;
+    core::agent_core m_core;
+    upstream_model m_upstream;
+};
+
+// Owns everything of one run.
+class world
+{
+public:
+    explicit world(const run_options &options);
+
+    run_result run();
+
+    virtual_time &time() { return m_time; }
+    virtual_network &network() { return m_network; }
+    core::random_source &random() { return m_random; }
+    history &records() { return m_history; }
+    const run_options &options() const { return m_options; }
+
+    entry_process *entryAt(const core::endpoint &address);
+    agent_process *agentAt(const core::endpoint &address);
+    node_id nodeOfEntry(const core::endpoint &address);
+    node_id nodeOfAgent(const core::endpoint &address);
+    void sendToCaller(node_id from, const core::endpoint &caller, core::service_id service,
+                      const core::byte_vector &packet);
+    void handedOver() { ++m_result.handedOver; }
+    // Address of the agent that a hash over the live upstreams gives; the wrong variant of routing.
+    core::endpoint moduloOwner(const core::endpoint &caller, core::service_id service) const;
+
+private:
+    using step = void (world::*)();
+
+    void createInitialSystem();
+    void publish();
+    void applyLater(const core::configuration_pointer &configuration);
+    void startTraffic();
+    void scheduleArrivals(double perSecond, std::function<void()> arrival);
+    void addOrder();
+    void addGuide();
+    void addFeed();
+    core::endpoint addCaller(std::unique_ptr<caller> client);
+    core::endpoint nextCallerAddress();
+    void sendFromCaller(const core::endpoint &caller, core::service_id service,
+                        const core::byte_vector &packet);
+    void advanceProcesses();
+    void scheduleSteps();
+    void runRandomStep();
+    core::duration randomDuration(core::duration low, core::duration high);
+    core::service_id randomService();
+
+    agent_process &startAgent(const core::upstream &description, core::incarnation incarnation);
+    entry_process &startEntry(const core::entry_instance &description);
+    agent_process *randomAgent();
+
+    // Planned changes.
+    void addUpstream();
+    void drainUpstream();
+    void addEntry();
+    void removeEntry();
+    void rotateKeys();
+    // Faults.
+    void restartAgent();
+    void pauseAgent();
+    void killEntry();
+    void pauseEntry();
+    void cutZones();
+    void disturbLinks();
+
+    run_options m_options;
+    core::seeded_random m_random;
+    virtual_time m_time;
+    virtual_network m_network;
+    history m_history;
+    run_result m_result;
+    core::configuration_content m_content;
+    core::configuration_pointer m_published;
+    caller_context m_callerContext;
+    node_id m_fabric = node_id::none;
+    std::uint8_t m_nextKey = 1;
+    std::uint16_t m_nextUpstream = 1;
+    std::uint16_t m_nextEntry = 1;
+    std::uint32_t m_nextCaller = 1;
+    std::uint32_t m_nextIncarnation = 1;
+    core::time_point m_nextRotation;
+    std::map<core::service_id, std::uint8_t> m_nextIndex;
+    std::vector<core::endpoint> m_fabricEntries; // where callers' packets may go
+    std::map<core::endpoint, entry_process *> m_entries;
+    std::map<core::endpoint, agent_process *> m_agents;
+    std::map<core::endpoint, caller *> m_callers;
+    // Processes and callers live to the end of the run, because scheduled tasks refer to them.
+    std::vector<std::unique_ptr<entry_process>> m_allEntries;
+    std::vector<std::unique_ptr<agent_process>> m_allAgents;
+    std::vector<std::unique_ptr<caller>> m_allCallers;
+};
+
+} // namespace oriolehold::random_run
--- /dev/null
+++ b/packages/random_run/tests/random_run_test.cpp
@@ -0,0 +1,76 @@
+#include "oriolehold/random_run/random_run.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace oriolehold::random_run;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t seedsPerPlan = 20;
+
+} // namespace
+
+TEST_GROUP(random_run)
+{
+    run_options options;
+
+    // Text of the first violation, empty when there is none.
+    std::string firstViolation(std::uint64_t seeds)
+    {
+        for (options.seed = 1; options.seed <= seeds; ++options.seed) {
+            try {
+                runOnce(options);
+            } catch (const violation &error) {
+                return "seed " + std::to_string(options.seed) + ": " + error.what();
+            }
+        }
+        return {};
+    }
+};
+
+TEST(random_run, SameSeedGivesTheSameRun)
+{
+    options.plan = fault_plan::faults;
+    options.length = 10s;
+
+    const run_result first = runOnce(options);
+    const run_result second = runOnce(options);
+
+    CHECK_TRUE(first.totals == second.totals);
+}
+
+TEST(random_run, PlannedChangesBreakNoFlowAndLoseNoRequest)
+{
+    options.plan = fault_plan::planned;
+    for (options.seed = 1; options.seed <= seedsPerPlan; ++options.seed) {
+        const history_totals totals = runOnce(options).totals;
+        const std::string seed = "seed " + std::to_string(options.seed);
+        CHECK_EQUAL_TEXT(0u, totals.brokenFeeds, seed.c_str());
+        CHECK_EQUAL_TEXT(0u, totals.failedGuides, seed.c_str());
+        CHECK_EQUAL_TEXT(totals.orders, totals.done, seed.c_str());
+    }
+}
+
+TEST(random_run, FaultsBreakNoPromiseOnOrdersAndAnswers)
+{
+    options.plan = fault_plan::faults;
+    STRCMP_EQUAL("", firstViolation(seedsPerPlan).c_str());
+}
+
+TEST(random_run, ReusedIncarnationIsFoundAsADoubledOrder)
+{
+    options.plan = fault_plan::faults;
+    options.variant = variant::sameIncarnation;
+    STRCMP_CONTAINS("started more than once", firstViolation(200).c_str());
+}
+
+TEST(random_run, HashRoutingBreaksFeedsUnderPlannedChanges)
+{
+    options.plan = fault_plan::planned;
+    options.variant = variant::moduloRouting;
+    std::uint64_t broken = 0;
+    for (options.seed = 1; options.seed <= seedsPerPlan; ++options.seed)
+        broken += runOnce(options).totals.brokenFeeds;
+    CHECK_TRUE(broken > 0);
+}
