Send all jobs to the upstream as non-confirmable messages

Cause: every guide timed out. libcoap 4.3.1 drops the first block of a block-wise answer that comes after the empty ACK of a confirmable GET ("large body receive internal issue" in its debug log). Ruled out: the deadline in the request, the agent's timers and the token handling, by tracing each. Conclusion: the agent is beside its upstream, so a lost packet is rare and ends as a timeout.

--- a/packages/agent/include/oriolehold/agent/upstream_client.h
+++ b/packages/agent/include/oriolehold/agent/upstream_client.h
@@ -18,8 +18,9 @@
     virtual void feedEnded(core::feed_id feed) = 0;
 };
 
-// Not thread-safe. Requests that are not idempotent are sent once, as non-confirmable messages,
-// because a retransmission to a paused upstream would run twice.
+// Not thread-safe. All jobs are non-confirmable messages, which are sent once. A retransmission to
+// a paused upstream would run a request twice, and libcoap 4.3.1 cannot assemble a block-wise
+// answer that follows the empty acknowledgement of a confirmable request.
 class upstream_client
 {
 public:
--- a/packages/agent/src/upstream_client.cpp
+++ b/packages/agent/src/upstream_client.cpp
@@ -127,12 +127,11 @@
             options.add(COAP_OPTION_URI_QUERY, query);
         options.add(COAP_OPTION_URI_QUERY, "deadline=" + std::to_string(milliseconds));
         options.add(COAP_OPTION_URI_QUERY, "job=" + std::to_string(core::toInteger(request.job)));
-        const coap_pdu_type_t type = request.idempotent ? COAP_MESSAGE_CON : COAP_MESSAGE_NON;
         const coap_pdu_code_t code = request.method == core::request_method::get
                 ? COAP_REQUEST_CODE_GET
                 : COAP_REQUEST_CODE_POST;
         m_jobs.insert(core::toInteger(request.job));
-        if (!send(type, code, makeToken(token_kind::job, core::toInteger(request.job)), options,
+        if (!send(COAP_MESSAGE_NON, code, makeToken(token_kind::job, core::toInteger(request.job)), options,
                   request.payload))
             m_unsent.push_back(request.job);
     }
