Add comparison of the schedulers in virtual time

Cause: the default scheduler must be chosen by measurement. Ruled out: Google Benchmark's main, because the result is tables of virtual time; bench/*_comparison.cpp files are programs of their own (cmake/oriolehold.cmake).

--- a/cmake/oriolehold.cmake
+++ b/cmake/oriolehold.cmake
@@ -32,10 +32,24 @@
     endif()
 endfunction()
 
-# Declares the benchmark program NAME_bench from bench/*.cpp when benchmarks are enabled.
+# Declares the benchmark program NAME_bench from bench/*.cpp when benchmarks are enabled. Each
+# bench/*_comparison.cpp is a program of its own with its own main().
 function(oriolehold_benchmarks name)
     file(GLOB benchmarks CONFIGURE_DEPENDS bench/*.cpp)
-    if(benchmarks AND ORIOLEHOLD_BENCHMARKS)
+    if(NOT ORIOLEHOLD_BENCHMARKS)
+        return()
+    endif()
+    set(comparisons ${benchmarks})
+    list(FILTER comparisons INCLUDE REGEX "_comparison\\.cpp$")
+    list(FILTER benchmarks EXCLUDE REGEX "_comparison\\.cpp$")
+    foreach(comparison IN LISTS comparisons)
+        get_filename_component(program ${comparison} NAME_WE)
+        add_executable(${program} ${comparison})
+        target_include_directories(${program} PRIVATE src)
+        target_link_libraries(${program} PRIVATE oriolehold_${name} oriolehold_testing
+            PkgConfig::TCLAP)
+    endforeach()
+    if(benchmarks)
         find_package(benchmark REQUIRED)
         add_executable(${name}_bench ${benchmarks})
         target_include_directories(${name}_bench PRIVATE src)
