Limit long and unknown work in the default scheduler by measured load

Cause: with 4 slots priority-lanes gave aged long jobs 3 slots; under overload aged long jobs displaced short ones of higher priority; a straggler on a known path made the next 25 jobs of it look long.

--- a/packages/core/bench/scheduling_comparison.cpp
+++ b/packages/core/bench/scheduling_comparison.cpp
@@ -64,6 +64,15 @@
     bool isUnknown = false;
 };
 
+enum class job_group : std::uint8_t { knownShort, unknownShort, straggler };
+
+job_group groupOf(const planned_job &job)
+{
+    if (job.isLong)
+        return job_group::straggler;
+    return job.isUnknown ? job_group::unknownShort : job_group::knownShort;
+}
+
 struct job_outcome
 {
     bool answered = false;
@@ -270,11 +279,11 @@
 }
 
 std::vector<duration> waitsOf(std::span<const planned_job> jobs,
-                              std::span<const job_outcome> outcomes, bool isLong)
+                              std::span<const job_outcome> outcomes, job_group group)
 {
     std::vector<duration> waits;
     for (std::size_t i = 0; i < jobs.size(); ++i) {
-        if (outcomes[i].answered && jobs[i].isLong == isLong)
+        if (outcomes[i].answered && groupOf(jobs[i]) == group)
             waits.push_back(outcomes[i].wait);
     }
     return waits;
@@ -306,17 +315,24 @@
     { "1% stragglers, predicted as short", 0.01, prediction::wrong },
 };
 
+std::vector<duration> concatenate(std::vector<duration> first, std::span<const duration> second)
+{
+    first.insert(first.end(), second.begin(), second.end());
+    return first;
+}
+
 void compareSteadyLoad(std::uint64_t seed, std::size_t slots, variation shape)
 {
     std::printf("\n### Waits at 70%% load, %zu slots, %s service times\n\n", slots,
                 shape == variation::exponential ? "exponential" : "moderately varying");
     std::printf(
-            "Waits in ms. The ratio compares the p99 wait of short work with the same scheduler "
-            "without stragglers.\nThe extra delay is the mean wait of long work minus that of "
-            "fifo.\n\n");
-    std::printf("| workload | scheduler | short p50 | short p99 | short p99.9 | ratio | long p50 "
-                "| long p99 | long extra delay | unfinished "
-                "|\n|---|---|---|---|---|---|---|---|---|---|\n");
+            "Waits in ms. The ratios compare the p99 wait of all short work, and of short work of "
+            "known length, with that of the\nsame scheduler without stragglers. The extra delay "
+            "is the mean wait of long work minus that of fifo.\n\n");
+    std::printf(
+            "| workload | scheduler | short p50 | short p99 | short p99.9 | ratio | ratio, known "
+            "length | long p50 | long p99 | long extra delay | unfinished |\n"
+            "|---|---|---|---|---|---|---|---|---|---|---|\n");
     std::map<std::string_view, double> undisturbed;
     for (const steady_scenario &scenario : steadyScenarios) {
         seeded_random random(seed);
@@ -325,18 +341,22 @@
         double fifoMean = 0.0;
         for (const std::string_view name : schedulerNames) {
             const auto outcomes = simulate(jobs, slots, name, false);
-            auto shortWaits = waitsOf(jobs, outcomes, false);
-            auto longWaits = waitsOf(jobs, outcomes, true);
+            auto knownWaits = waitsOf(jobs, outcomes, job_group::knownShort);
+            auto shortWaits =
+                    concatenate(knownWaits, waitsOf(jobs, outcomes, job_group::unknownShort));
+            auto longWaits = waitsOf(jobs, outcomes, job_group::straggler);
             const double p99 = quantile(shortWaits, 0.99);
             undisturbed.emplace(name, p99); // keeps the value of the first workload
+            const double base = undisturbed.at(name);
             if (name == "fifo")
                 fifoMean = meanOf(longWaits);
-            std::printf("| %s | %s | %.1f | %.1f | %.1f | %.2f | %.0f | %.0f | %.0f | %zu |\n",
-                        scenario.name, name.data(), quantile(shortWaits, 0.5), p99,
-                        quantile(shortWaits, 0.999), p99 / undisturbed.at(name),
-                        quantile(longWaits, 0.5), quantile(longWaits, 0.99),
-                        meanOf(longWaits) - fifoMean,
-                        jobs.size() - shortWaits.size() - longWaits.size());
+            std::printf(
+                    "| %s | %s | %.1f | %.1f | %.1f | %.2f | %.2f | %.0f | %.0f | %.0f | %zu |\n",
+                    scenario.name, name.data(), quantile(shortWaits, 0.5), p99,
+                    quantile(shortWaits, 0.999), p99 / base, quantile(knownWaits, 0.99) / base,
+                    quantile(longWaits, 0.5), quantile(longWaits, 0.99),
+                    meanOf(longWaits) - fifoMean,
+                    jobs.size() - shortWaits.size() - longWaits.size());
         }
     }
 }
@@ -481,7 +501,7 @@
         for (const auto &[name, admission] : overloadCandidates) {
             burst_result result;
             for (int run = 0; run < burstRuns; ++run) {
-                seeded_random random(seed + static_cast<std::uint64_t>(run));
+                seeded_random random(seed * 1000 + static_cast<std::uint64_t>(run));
                 const auto jobs = plan({ slots,
                                          { { beforeBurst, 0.35, 0.35 },
                                            { burstLength, 0.7, 2.8 },
--- a/packages/core/include/oriolehold/core/admission_policy.h
+++ b/packages/core/include/oriolehold/core/admission_policy.h
@@ -32,12 +32,13 @@
 {
     std::size_t maxQueued = 256;         // jobs
     std::size_t minFreeMemory = 4 << 20; // bytes
-    // Each lower class may use this share of the queue, the memory margin and the waiting time of
-    // the class above it.
+    // Each lower class may use this share of the queue and of the memory margin of the class above.
     double lowerClassShare = 0.5;
-    // Part of the time between service and deadline that the expected wait may use. The rest
-    // covers errors of the prediction.
-    double waitShare = 0.7;
+    // The same for the waiting time. It bounds the backlog that remains after a burst.
+    double lowerClassWaitShare = 0.25;
+    // Part of the time between service and deadline that the expected wait may use. With 0.7, high-
+    // priority work was refused in bursts although it would have met its deadline.
+    double waitShare = 0.9;
 };
 
 // Refuses work that would miss its deadline, and lower classes well before the queue is full. Takes
--- a/packages/core/include/oriolehold/core/priority_lane_scheduler.h
+++ b/packages/core/include/oriolehold/core/priority_lane_scheduler.h
@@ -20,11 +20,18 @@
 {
     // A job of length e is overtaken only by jobs of its class that arrive within shortAgeing * e.
     int shortAgeing = 2;
-    // A long job of length e goes before short jobs once it has waited for longAgeing * e, times
-    // its priority plus one.
-    int longAgeing = 2;
-    // Long jobs leave free this many times the slots that short jobs use on average.
+    // A long job of length e is aged once it has waited for longAgeing * e, and overdue after
+    // overdueAgeing * e, both times its priority plus one. An aged one goes before short jobs of
+    // the same or a lower class, an overdue one before all short jobs.
+    int longAgeing = 5;
+    int overdueAgeing = 10;
+    // After a long job of length e went before short jobs, none does so for precedenceGap * e. So
+    // long jobs take at most one slot of 1 / precedenceGap of the time from waiting short jobs.
+    int precedenceGap = 2;
+    // Long jobs leave this many times the slots that short jobs use on average. An aged job needs
+    // less headroom, an overdue one leaves one slot.
     double shortHeadroom = 1.5;
+    double agedHeadroom = 1.15;
 };
 
 class priority_lane_scheduler final : public slot_scheduler
@@ -49,10 +56,13 @@
     // of the time.
     using order_key = std::tuple<std::uint8_t, time_point, std::uint64_t>;
 
+    enum class age : std::uint8_t { fresh, aged, overdue };
+
     struct queued_job
     {
         lane kind = lane::shortWork;
         order_key key;
+        time_point arrival;
         std::uint8_t priority = 0;
         duration length {};
     };
@@ -82,8 +92,14 @@
 
     lane_queue &queueOf(lane kind);
     slot_use countRunning(std::span<const duration> running) const;
-    std::size_t longLimit(duration length, bool aged, std::size_t slots, time_point now) const;
-    bool mayRunUnknown(const slot_use &use, std::size_t slots, time_point now) const;
+    age ageOf(const queued_job &longJob, time_point now) const;
+    std::size_t longLimit(duration length, age stage, std::size_t slots, time_point now) const;
+    bool takesPrecedence(const queued_job &longJob, time_point now) const;
+    // Whether known short jobs wait or are expected while a job of unknown length runs.
+    bool expectsKnownWork(time_point now) const;
+    std::size_t unknownLimit(std::size_t slots, time_point now) const;
+    // Priority of the next short or unknown job.
+    std::optional<std::uint8_t> nextShortPriority() const;
     job_id take(lane_queue &queue);
 
     priority_lane_options m_options;
@@ -96,7 +112,9 @@
     lane_queue m_unknown;
     lane_queue m_long;
     std::map<std::uint8_t, duration> m_shortWork; // queued, by priority
+    duration m_unknownWork {};                    // queued
     duration m_longWork {};                       // queued
+    time_point m_nextPrecedence;                  // of a long job over short jobs
 };
 
 } // namespace oriolehold::core
--- a/packages/core/src/admission_policy.cpp
+++ b/packages/core/src/admission_policy.cpp
@@ -25,7 +25,8 @@
             static_cast<double>(request.queued) >= share * static_cast<double>(m_options.maxQueued);
     const bool memoryShareUsed = share * static_cast<double>(request.freeMemory)
             < static_cast<double>(m_options.minFreeMemory);
-    if (queueShareUsed || memoryShareUsed || wait > share * allowedWait)
+    const double waitShare = std::pow(m_options.lowerClassWaitShare, request.priority);
+    if (queueShareUsed || memoryShareUsed || wait > waitShare * allowedWait)
         return result_code::priorityShed;
     return std::nullopt;
 }
--- a/packages/core/src/priority_lane_scheduler.cpp
+++ b/packages/core/src/priority_lane_scheduler.cpp
@@ -12,6 +12,8 @@
 
 constexpr double arrivalSmoothing = 0.02; // weight of the newest arrival
 constexpr double silenceFactor = 16.0;    // gaps without an arrival until none is expected
+constexpr duration::rep unknownHorizon =
+        100; // times the typical length that an unknown job may run
 
 } // namespace
 
@@ -48,6 +50,7 @@
     m_lengths.observe(job.expectedService);
     queued_job queued;
     queued.priority = job.priority;
+    queued.arrival = job.arrival;
     if (job.expectedService <= duration::zero()) {
         queued.kind = lane::unknownWork;
         queued.length = m_lengths.typical();
@@ -65,6 +68,8 @@
         queued.key = { job.priority, job.arrival + m_options.shortAgeing * queued.length,
                        sequence };
         m_shortWork[job.priority] += queued.length;
+        if (queued.kind == lane::unknownWork)
+            m_unknownWork += queued.length;
         m_shortArrivals.observe(job.arrival, queued.length);
         if (queued.kind == lane::shortWork)
             m_knownArrivals.observe(job.arrival, queued.length);
@@ -85,6 +90,8 @@
         m_longWork -= job.length;
     else
         m_shortWork[job.priority] -= job.length;
+    if (job.kind == lane::unknownWork)
+        m_unknownWork -= job.length;
     m_jobs.erase(found);
     return true;
 }
@@ -99,14 +106,17 @@
     const bool mayRunAny = running.empty();
     bool mayRunLong = false;
     if (!m_long.empty()) {
-        const auto &[key, id] = *m_long.begin();
-        const bool aged = std::get<time_point>(key) <= now;
-        mayRunLong = mayRunAny || use.longJobs < longLimit(m_jobs.at(id).length, aged, slots, now);
-        if (mayRunLong && aged)
+        const queued_job &first = m_jobs.at(m_long.begin()->second);
+        const age stage = ageOf(first, now);
+        mayRunLong = mayRunAny || use.longJobs < longLimit(first.length, stage, slots, now);
+        if (mayRunLong && nextShortPriority().has_value() && takesPrecedence(first, now)) {
+            m_nextPrecedence = now + m_options.precedenceGap * first.length;
             return take(m_long);
+        }
     }
 
-    const bool unknownReady = !m_unknown.empty() && (mayRunAny || mayRunUnknown(use, slots, now));
+    const bool unknownReady = !m_unknown.empty()
+            && (mayRunAny || use.longJobs + use.unknownJobs < unknownLimit(slots, now));
     if (unknownReady && (m_short.empty() || m_unknown.begin()->first < m_short.begin()->first))
         return take(m_unknown);
     if (!m_short.empty())
@@ -126,14 +136,21 @@
             ahead += work;
     }
     const duration shortWait = internal::waitBehind(ahead, running, slots, m_lengths.typical());
-    if (!m_lengths.isLong(expectedService))
+    const bool isLong = m_lengths.isLong(expectedService);
+    const bool isUnknown = expectedService <= duration::zero();
+    if (!isLong && !isUnknown)
         return shortWait;
 
-    std::vector<duration> longRunning;
-    std::ranges::copy_if(running, std::back_inserter(longRunning),
-                         [this](duration total) { return m_lengths.isLong(total); });
-    const std::size_t limit = longLimit(expectedService, true, slots, now);
-    return std::max(shortWait, internal::waitBehind(m_longWork, longRunning, limit, {}));
+    // Long and unknown jobs also wait for one of the slots that such jobs may use.
+    std::vector<duration> limited;
+    std::ranges::copy_if(running, std::back_inserter(limited), [&](duration total) {
+        return m_lengths.isLong(total) || (isUnknown && total <= duration::zero());
+    });
+    const std::size_t limit =
+            isLong ? longLimit(expectedService, age::aged, slots, now) : unknownLimit(slots, now);
+    const duration limitedAhead = isLong ? m_longWork : m_unknownWork;
+    return std::max(shortWait,
+                    internal::waitBehind(limitedAhead, limited, limit, m_lengths.typical()));
 }
 
 priority_lane_scheduler::lane_queue &priority_lane_scheduler::queueOf(lane kind)
@@ -160,28 +177,72 @@
     return use;
 }
 
+priority_lane_scheduler::age priority_lane_scheduler::ageOf(const queued_job &longJob,
+                                                            time_point now) const
+{
+    const duration waited = now - longJob.arrival;
+    const duration unit = (longJob.priority + 1) * longJob.length;
+    if (waited >= m_options.overdueAgeing * unit)
+        return age::overdue;
+    return waited >= m_options.longAgeing * unit ? age::aged : age::fresh;
+}
+
 // Number of slots that long jobs may use at once.
-std::size_t priority_lane_scheduler::longLimit(duration length, bool aged, std::size_t slots,
+std::size_t priority_lane_scheduler::longLimit(duration length, age stage, std::size_t slots,
                                                time_point now) const
 {
     const bool shortWaits = !m_short.empty() || !m_unknown.empty();
     if (slots <= 1 || (!shortWaits && !m_shortArrivals.expectsWithin(now, length)))
         return slots;
-    if (aged)
+    if (stage == age::overdue)
         return slots - 1;
-    const double spare =
-            static_cast<double>(slots) - m_options.shortHeadroom * m_shortArrivals.load();
+    const double headroom = stage == age::aged ? m_options.agedHeadroom : m_options.shortHeadroom;
+    const double spare = static_cast<double>(slots) - headroom * m_shortArrivals.load();
+    const double least = stage == age::aged ? 1.0 : 0.0;
     return static_cast<std::size_t>(
-            std::clamp(std::floor(spare), 1.0, static_cast<double>(slots - 1)));
+            std::clamp(std::floor(spare), least, static_cast<double>(slots - 1)));
+}
+
+bool priority_lane_scheduler::takesPrecedence(const queued_job &longJob, time_point now) const
+{
+    if (now < m_nextPrecedence)
+        return false;
+    switch (ageOf(longJob, now)) {
+    case age::fresh:
+        return false;
+    case age::aged:
+        return longJob.priority <= nextShortPriority().value_or(longJob.priority);
+    case age::overdue:
+        break;
+    }
+    return true;
+}
+
+bool priority_lane_scheduler::expectsKnownWork(time_point now) const
+{
+    return !m_short.empty()
+            || m_knownArrivals.expectsWithin(now, m_lengths.typical() * unknownHorizon);
 }
 
-// An unknown job may turn out long, so one slot is left for known work when there is any.
-bool priority_lane_scheduler::mayRunUnknown(const slot_use &use, std::size_t slots,
-                                            time_point now) const
+// Number of slots that long and unknown jobs may use at once before another unknown job starts. It
+// may turn out long, so it counts as a long one while known short jobs are about.
+std::size_t priority_lane_scheduler::unknownLimit(std::size_t slots, time_point now) const
 {
-    const bool knownWaits =
-            !m_short.empty() || m_knownArrivals.expectsWithin(now, m_lengths.typical() * 100);
-    return slots <= 1 || !knownWaits || use.unknownJobs + 1 < slots;
+    return expectsKnownWork(now)
+            ? longLimit(m_lengths.typical() * unknownHorizon, age::aged, slots, now)
+            : slots;
+}
+
+std::optional<std::uint8_t> priority_lane_scheduler::nextShortPriority() const
+{
+    std::optional<std::uint8_t> priority;
+    for (const lane_queue *queue : { &m_short, &m_unknown }) {
+        if (queue->empty())
+            continue;
+        const std::uint8_t first = std::get<std::uint8_t>(queue->begin()->first);
+        priority = std::min(priority.value_or(first), first);
+    }
+    return priority;
 }
 
 job_id priority_lane_scheduler::take(lane_queue &queue)
--- a/packages/core/src/service_time_estimator.cpp
+++ b/packages/core/src/service_time_estimator.cpp
@@ -10,6 +10,11 @@
 constexpr std::size_t maxPaths = 4096; // more paths than this share the class mean
 constexpr duration defaultServiceTime = std::chrono::milliseconds { 10 };
 
+// A sample counts for at most this many times the mean, once the mean is established. A single job
+// that ran 100 times longer raised the mean tenfold, so that the next 25 jobs looked long.
+constexpr double outlierFactor = 4.0;
+constexpr std::uint64_t establishedCount = 10;
+
 duration toDuration(double microseconds)
 {
     return duration { static_cast<duration::rep>(microseconds) };
@@ -22,7 +27,10 @@
     ++count;
     // A plain mean of the first samples, then exponential smoothing.
     const double weight = std::max(smoothing, 1.0 / static_cast<double>(count));
-    microseconds += weight * (static_cast<double>(value.count()) - microseconds);
+    double sample = static_cast<double>(value.count());
+    if (count > establishedCount)
+        sample = std::min(sample, outlierFactor * std::max(microseconds, 1.0));
+    microseconds += weight * (sample - microseconds);
 }
 
 void service_time_estimator::record(std::string_view className, std::string_view path,
--- /dev/null
+++ b/packages/core/tests/job_length_classifier_test.cpp
@@ -0,0 +1,61 @@
+#include "oriolehold/core/job_length_classifier.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace oriolehold::core;
+using namespace std::chrono_literals;
+
+TEST_GROUP(job_length_classifier)
+{
+    job_length_classifier lengths;
+
+    void observe(int count, duration length)
+    {
+        for (int i = 0; i < count; ++i)
+            lengths.observe(length);
+    }
+};
+
+TEST(job_length_classifier, NothingIsLongBeforeTheFirstObservation)
+{
+    CHECK_FALSE(lengths.isLong(1h));
+}
+
+TEST(job_length_classifier, JobFarAboveTheUsualLengthIsLong)
+{
+    observe(100, 10ms);
+    CHECK_TRUE(lengths.isLong(100ms));
+    CHECK_FALSE(lengths.isLong(50ms));
+}
+
+// Guards against a limit on long jobs in a service that has only such jobs.
+TEST(job_length_classifier, UsualLengthIsNeverLong)
+{
+    observe(100, 10s);
+    CHECK_FALSE(lengths.isLong(10s));
+}
+
+// Guards against a threshold between the halves of a mixed workload that hides the long half.
+TEST(job_length_classifier, LongHalfOfAMixedWorkloadIsLong)
+{
+    for (int i = 0; i < 500; ++i) {
+        lengths.observe(20ms);
+        lengths.observe(1s);
+    }
+    CHECK_TRUE(lengths.isLong(1s));
+    CHECK_FALSE(lengths.isLong(20ms));
+}
+
+TEST(job_length_classifier, UnknownLengthsAreIgnored)
+{
+    observe(100, 10ms);
+    observe(1000, 0ms);
+    CHECK_TRUE(lengths.typical() > 9ms);
+}
+
+TEST(job_length_classifier, FollowsAChangeOfSpeed)
+{
+    observe(100, 10ms);
+    observe(300, 1s);
+    CHECK_FALSE(lengths.isLong(1s));
+}
--- a/packages/core/tests/service_time_estimator_test.cpp
+++ b/packages/core/tests/service_time_estimator_test.cpp
@@ -40,3 +40,13 @@
     // Not tracked on its own, so the class mean answers.
     CHECK_TRUE(estimator.predict("guide", "guides/9999") < 100ms);
 }
+
+// Guards against a single straggler that makes the next jobs of its path look long.
+TEST(service_time_estimator, StragglerBarelyChangesAnEstablishedMean)
+{
+    for (int i = 0; i < 100; ++i)
+        estimator.record("order", "orders", 10ms);
+    estimator.record("order", "orders", 1s);
+
+    CHECK_TRUE(estimator.predict("order", "orders") < 15ms);
+}
