--- a/packages/core/src/message_id_allocator.cpp
+++ b/packages/core/src/message_id_allocator.cpp
@@ -9,8 +9,10 @@
 namespace {
 
 constexpr int sequenceCount = 256;
-// Share of the exchange lifetime that one message ID uses up.
-constexpr duration messageIdCost = duration { exchangeLifetime } / sequenceCount;
+// Messages that may be sent at once. The rest of the sequence numbers is spread over the exchange
+// lifetime, so that a burst and the steady rate together never use more than there are.
+constexpr int burst = 16;
+constexpr duration messageIdCost = duration { exchangeLifetime } / (sequenceCount - burst);
 
 } // namespace
 
@@ -38,7 +40,7 @@
     const auto found = m_sequences.find(caller);
     if (found == m_sequences.end())
         return time_point::min();
-    return found->second.spent - exchangeLifetime + messageIdCost;
+    return found->second.spent - (burst - 1) * messageIdCost;
 }
 
 void message_id_allocator::expire(time_point now)
