Add tests of the platform package and bound slow readers of the admin server

Cause: the HTTP library waits for a slow reader without limit: 32 readers that never read blocked all 16 threads, and stop() did not return. Ruled out: a larger thread pool, which only moves the limit. Conclusion: writes have a timeout and request bodies are discarded and bounded.

--- a/packages/admin/src/admin_server.cpp
+++ b/packages/admin/src/admin_server.cpp
@@ -8,6 +8,8 @@
 #include <cxxtools/regex.h>
 #include <sodium.h>
 
+#include <atomic>
+#include <chrono>
 #include <exception>
 #include <thread>
 
@@ -18,6 +20,7 @@
 // A connection that sends or reads slowly occupies one of these threads until a timeout.
 constexpr unsigned minThreads = 2;
 constexpr unsigned maxThreads = 16;
+constexpr std::chrono::milliseconds retryInterval { 100 };
 constexpr double readTimeout = 1000;      // milliseconds
 constexpr double writeTimeout = 2000;     // milliseconds
 constexpr double keepAliveTimeout = 5000; // milliseconds
@@ -53,6 +56,7 @@
 
     ~implementation()
     {
+        m_stopped.store(true);
         m_loop.exit();
         m_thread.join();
     }
@@ -63,13 +67,19 @@
 private:
     void run()
     {
-        try {
-            m_loop.run();
-        } catch (const std::exception &error) {
-            platform::log(platform::log_event::adminFailed, { { "error", error.what() } });
+        while (!m_stopped.load()) {
+            try {
+                m_loop.run();
+                return;
+            } catch (const std::exception &error) {
+                // For example no free file descriptor for a new connection.
+                platform::log(platform::log_event::adminFailed, { { "error", error.what() } });
+                std::this_thread::sleep_for(retryInterval);
+            }
         }
     }
 
+    std::atomic<bool> m_stopped { false };
     internal::admin_service m_service;
     cxxtools::EventLoop m_loop;
     cxxtools::http::Server m_server;
--- a/packages/admin/src/internal/admin_service.cpp
+++ b/packages/admin/src/internal/admin_service.cpp
@@ -1,13 +1,17 @@
 #include "internal/admin_service.h"
 
+#include "internal/connection.h"
 #include "oriolehold/platform/log_events.h"
 
 #include <cxxtools/http/reply.h>
 #include <cxxtools/http/request.h>
 #include <cxxtools/http/responder.h>
 
+#include <array>
 #include <exception>
+#include <istream>
 #include <ostream>
+#include <stdexcept>
 #include <utility>
 
 namespace oriolehold::admin::internal {
@@ -15,6 +19,8 @@
 namespace {
 
 constexpr std::string_view bearer = "Bearer ";
+constexpr std::size_t maxBodySize = 4096; // bytes
+constexpr std::chrono::milliseconds writeTimeout { 500 };
 constexpr const char *jsonType = "application/json";
 constexpr const char *metricsType = "text/plain; version=0.0.4; charset=utf-8";
 
@@ -66,6 +72,25 @@
         : Responder(service), m_source(source)
     { }
 
+    void beginRequest(cxxtools::net::TcpSocket &socket, std::istream &,
+                      cxxtools::http::Request &) override
+    {
+        limitWrites(socket, writeTimeout);
+    }
+
+    // Discards the body, which no request needs.
+    std::size_t readBody(std::istream &in) override
+    {
+        std::array<char, 4096> buffer {};
+        std::size_t count = 0;
+        while (in.rdbuf()->in_avail() > 0)
+            count += static_cast<std::size_t>(in.readsome(buffer.data(), buffer.size()));
+        m_bodySize += count;
+        if (m_bodySize > maxBodySize)
+            throw std::length_error("request body is too large"); // ends the connection
+        return count;
+    }
+
     void reply(std::ostream &out, cxxtools::http::Request &request,
                cxxtools::http::Reply &reply) override
     {
@@ -85,6 +110,7 @@
 
 private:
     status_source &m_source;
+    std::size_t m_bodySize = 0;
 };
 
 } // namespace
--- /dev/null
+++ b/packages/admin/src/internal/connection.cpp
@@ -0,0 +1,15 @@
+#include "internal/connection.h"
+
+#include <cxxtools/net/tcpsocket.h>
+
+// This file is compiled as C++17: the library's header uses members of std::allocator that C++20
+// removed.
+
+namespace oriolehold::admin::internal {
+
+void limitWrites(cxxtools::net::TcpSocket &socket, std::chrono::milliseconds timeout)
+{
+    socket.setTimeout(cxxtools::Milliseconds(static_cast<double>(timeout.count())));
+}
+
+} // namespace oriolehold::admin::internal
--- a/packages/platform/src/log_events.cpp
+++ b/packages/platform/src/log_events.cpp
@@ -48,7 +48,7 @@
         { log_event::configurationConflict, "configuration-conflict", log_level::error, 1000ms,
           "A document has the generation in effect but another content; it is not applied." },
         { log_event::platformUnreachable, "platform-unreachable", log_level::warning, 0ms,
-          "The platform does not answer or answers with an error." },
+          "The platform does not answer, or not with an acceptable document." },
         { log_event::platformReachable, "platform-reachable", log_level::info, 0ms,
           "The platform answers again." },
         { log_event::peerDocument, "peer-document", log_level::info, 1000ms,
--- a/packages/platform/src/settings.cpp
+++ b/packages/platform/src/settings.cpp
@@ -5,7 +5,7 @@
 
 #include <algorithm>
 #include <fstream>
-#include <iterator>
+#include <sstream>
 
 namespace oriolehold::platform {
 
@@ -157,10 +157,11 @@
 boost::leaf::result<std::string> readFile(const std::string &file)
 {
     std::ifstream stream(file, std::ios::binary);
-    std::string text(std::istreambuf_iterator<char>(stream), {});
-    if (!stream.is_open() || stream.bad())
+    std::ostringstream text;
+    text << stream.rdbuf(); // sets the bad bit where reading fails, for example of a directory
+    if (!stream.is_open() || text.fail())
         return boost::leaf::new_error(settings_error { "", "a readable file " + file });
-    return text;
+    return text.str();
 }
 
 } // namespace
--- /dev/null
+++ b/packages/platform/tests/configuration_watch_test.cpp
@@ -0,0 +1,143 @@
+#include "oriolehold/platform/configuration_watch.h"
+
+#include "example_document.h"
+#include "fake_http_server.h"
+
+#include <condition_variable>
+
+// Redefines new, so it comes after all other headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace oriolehold;
+using namespace oriolehold::platform;
+using namespace std::chrono_literals;
+using testing::exampleText;
+using testing::fake_answer;
+using testing::fake_http_server;
+
+namespace {
+
+// Generations that a watch applied.
+class applied_generations
+{
+public:
+    void add(const core::configuration_pointer &configuration)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_generations.push_back(configuration->generation());
+        m_changed.notify_all();
+    }
+    // Waits until the last applied generation is the given one.
+    bool waitFor(core::generation_number generation)
+    {
+        std::unique_lock lock(m_mutex);
+        return m_changed.wait_for(lock, 10s, [&] {
+            return !m_generations.empty() && m_generations.back() == generation;
+        });
+    }
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::vector<core::generation_number> m_generations;
+};
+
+} // namespace
+
+TEST_GROUP(configuration_watch)
+{
+    applied_generations applied;
+    std::atomic<bool> release { false };
+
+    configuration_watch::apply_function apply()
+    {
+        return [this](const core::configuration_pointer &configuration) {
+            applied.add(configuration);
+        };
+    }
+    // A long poll with nothing new that the test ends.
+    fake_answer hold() const
+    {
+        while (!release.load())
+            std::this_thread::sleep_for(5ms);
+        return { 304, {} };
+    }
+};
+
+TEST(configuration_watch, AppliesEachNewGenerationAndAsksForLaterOnes)
+{
+    fake_http_server platform([&](const std::string &query) -> fake_answer {
+        if (query == "/v1/configuration?after=0&wait=0")
+            return { 200, exampleText(7) };
+        if (query.starts_with("/v1/configuration?after=7&wait="))
+            return { 200, exampleText(9) };
+        return hold();
+    });
+    configuration_watch watch(platform.address, {}, 1, apply());
+    watch.start();
+    CHECK_TRUE(applied.waitFor(9));
+    UNSIGNED_LONGS_EQUAL(9, watch.generation());
+    STRCMP_EQUAL(exampleText(9).c_str(), watch.document().c_str());
+    release.store(true);
+    watch.stop();
+}
+
+TEST(configuration_watch, StopEndsARunningLongPollWithinASecond)
+{
+    std::atomic<bool> polling { false };
+    fake_http_server platform([&](const std::string &query) -> fake_answer {
+        if (query == "/v1/configuration?after=0&wait=0")
+            return { 200, exampleText(7) };
+        polling.store(true);
+        return hold();
+    });
+    configuration_watch watch(platform.address, {}, 1, apply());
+    watch.start();
+    while (!polling.load())
+        std::this_thread::sleep_for(5ms);
+    const auto began = std::chrono::steady_clock::now();
+    watch.stop();
+    CHECK_TRUE(std::chrono::steady_clock::now() - began < 1s);
+    release.store(true);
+}
+
+TEST(configuration_watch, DocumentOfThePlatformThatIsInvalidOrOlderIsNotApplied)
+{
+    std::atomic<int> reads { 0 };
+    fake_http_server platform([&](const std::string &) -> fake_answer {
+        switch (++reads) {
+        case 1:
+            return { 200, exampleText(7) };
+        case 2:
+            return { 200, exampleText(8).substr(0, 100) };
+        case 3:
+            return { 200, exampleText(6) };
+        case 4:
+            return { 200, std::string(2 * maxDocumentSize, ' ') };
+        case 5:
+            return { 200, exampleText(9) };
+        default:
+            return hold();
+        }
+    });
+    configuration_watch watch(platform.address, {}, 1, apply());
+    watch.start();
+    CHECK_TRUE(applied.waitFor(9));
+    UNSIGNED_LONGS_EQUAL(2, watch.rejected());
+    release.store(true);
+    watch.stop();
+}
+
+TEST(configuration_watch, AsksPeersWhenThePlatformIsSilentAtStart)
+{
+    fake_http_server peer([](const std::string &query) -> fake_answer {
+        return query == "/v1/configuration" ? fake_answer { 200, exampleText(7) }
+                                            : fake_answer { 404, {} };
+    });
+    const core::endpoint nobody = testing::freeAddress();
+    configuration_watch watch(nobody, { nobody, peer.address }, 1, apply());
+    watch.start();
+    CHECK_TRUE(applied.waitFor(7));
+    watch.stop();
+    CHECK_FALSE(watch.platformReachable());
+}
--- /dev/null
+++ b/packages/platform/tests/fake_http_server.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "oriolehold/core/types.h"
+
+#include <cxxtools/eventloop.h>
+#include <cxxtools/http/reply.h>
+#include <cxxtools/http/request.h>
+#include <cxxtools/http/responder.h>
+#include <cxxtools/http/server.h>
+#include <cxxtools/http/service.h>
+#include <cxxtools/regex.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <functional>
+#include <string>
+#include <thread>
+
+// HTTP server on a free loopback port whose answers a test decides.
+
+namespace oriolehold::platform::testing {
+
+inline core::endpoint freeAddress()
+{
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    auto *generic = reinterpret_cast<sockaddr *>(&address);
+    ::bind(descriptor, generic, size);
+    ::getsockname(descriptor, generic, &size);
+    ::close(descriptor);
+    return { INADDR_LOOPBACK, ntohs(address.sin_port) };
+}
+
+struct fake_answer
+{
+    unsigned status = 200;
+    std::string body;
+};
+
+class fake_http_server
+{
+public:
+    // Gets the path with the query; called from several threads.
+    using handler = std::function<fake_answer(const std::string &)>;
+
+    explicit fake_http_server(handler handle)
+        : address(freeAddress()), m_service(std::move(handle)),
+          m_server(m_loop, "127.0.0.1", address.port)
+    {
+        m_server.addService(cxxtools::Regex(".*"), m_service);
+        m_thread = std::thread([this] { m_loop.run(); });
+    }
+    ~fake_http_server()
+    {
+        m_loop.exit();
+        m_thread.join();
+    }
+
+    const core::endpoint address;
+
+private:
+    class fake_responder : public cxxtools::http::Responder
+    {
+    public:
+        fake_responder(cxxtools::http::Service &service, const handler &handle)
+            : Responder(service), m_handle(handle)
+        { }
+        void reply(std::ostream &out, cxxtools::http::Request &request,
+                   cxxtools::http::Reply &reply) override
+        {
+            const fake_answer answer = m_handle(request.header().query());
+            reply.httpReturn(answer.status, "test");
+            out << answer.body;
+        }
+
+    private:
+        const handler &m_handle;
+    };
+
+    class fake_service : public cxxtools::http::Service
+    {
+    public:
+        explicit fake_service(handler handle) : m_handle(std::move(handle)) { }
+
+    protected:
+        cxxtools::http::Responder *createResponder(const cxxtools::http::Request &) override
+        {
+            return new fake_responder(*this, m_handle);
+        }
+        void releaseResponder(cxxtools::http::Responder *responder) override { delete responder; }
+
+    private:
+        handler m_handle;
+    };
+
+    fake_service m_service;
+    cxxtools::EventLoop m_loop;
+    cxxtools::http::Server m_server;
+    std::thread m_thread;
+};
+
+} // namespace oriolehold::platform::testing
