--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -251,6 +251,8 @@
     print("feeds %d, guides %d, orders %d" % (len(evaluation.feeds), len(evaluation.guides),
                                               len(evaluation.orders)))
     print("answered within the deadline: %.2f%% of the orders" % (100 * evaluation.in_time_share()))
+    print("p99 of orders per fifth of the load, ms: %s"
+          % ", ".join("%.0f" % value for value in evaluation.p99_course_ms()))
     print("refused by upstreams: %d jobs" % evaluation.log.sheds)
     for service, values in evaluation.imbalances().items():
         print("imbalance of %s: median %.3f, p99 %.3f over %d windows"
@@ -277,9 +279,10 @@
         system.start()
         entries, upstreams = len(system.entries), len(system.upstreams)
         start_us, end_us = run_load(system, scenario)
-        crashed = system.unexpected_exits()
+        crashed = system.failures()
     finally:
         system.stop()
+    crashed += [process for process in system.failures() if process not in crashed]
     evaluation = Evaluation(read_records(system.path("caller.records")), system.upstreams,
                             start_us, end_us)
     counters = fabric_counters(system)
--- a/scripts/demo_report.py
+++ b/scripts/demo_report.py
@@ -157,10 +157,17 @@
         self.incomplete = [record for record in self.requests if record["outcome"] == "done"
                            and not (record["complete"] and record["right_answer"])]
 
-    def latencies_ms(self):
-        """Of answered orders that are not long by themselves."""
+    def latencies_ms(self, begin_us=0, end_us=math.inf):
+        """Of done orders that are not long by themselves and started in this time."""
         return [(order["end_us"] - order["start_us"]) / 1000 for order in self.orders
-                if order["outcome"] == "done" and not order["straggler"]]
+                if order["outcome"] == "done" and not order["straggler"]
+                and begin_us <= order["start_us"] < end_us]
+
+    def p99_course_ms(self, parts=5):
+        """p99 of the latency in equal parts of the load."""
+        length = (self.end_us - self.start_us) / parts
+        begins = [self.start_us + part * length for part in range(parts)]
+        return [percentile(self.latencies_ms(begin, begin + length), 0.99) for begin in begins]
 
     def in_time_share(self):
         """Share of the orders that were answered within their deadline, whatever the answer."""
--- a/scripts/demo_system.py
+++ b/scripts/demo_system.py
@@ -96,6 +96,7 @@
         self._folder = folder
         self.expected_to_run = True
         self.killed_us = None
+        self.stuck = False  # did not end after SIGTERM
         self.started_us = now_us()
         # stdout is kept for the counters that the stand-ins print at their end.
         with open(os.path.join(folder, name + ".out"), "ab") as out, \
@@ -500,9 +501,11 @@
 
     # End
 
-    def unexpected_exits(self):
+    def failures(self):
+        """Processes that ended by themselves, did not end when asked to, or ended with an error."""
         return [process for process in self.processes
-                if process.expected_to_run and not process.running()]
+                if process.stuck or (process.killed_us is None and not process.running()
+                                     and (process.expected_to_run or process.exit_status() != 0))]
 
     def stop(self):
         """Stops everything that this run has started, callers first."""
@@ -519,6 +522,7 @@
             for process in running:
                 if not process.wait(max(0.0, limit - time.monotonic())):
                     self.note("%s did not stop in %d s" % (process.name, STOP_TIMEOUT))
+                    process.stuck = True
                     process.kill()
 
 
--- a/standins/tests/caller_test.py
+++ b/standins/tests/caller_test.py
@@ -4,60 +4,19 @@
 import json
 import os
 import socket
-import struct
 import subprocess
 import sys
 import tempfile
 import threading
 import unittest
 
-ECHO, OBSERVE, PATH, QUERY = 252, 6, 11, 15
+from coap_messages import ACK, ECHO, OBSERVE, PATH, QUERY, encode, parse
+
 CHALLENGE, CHANGED, CONTENT = 0x81, 0x44, 0x45
 
 CALLER = sys.argv.pop(1)
 
 
-def parse(data):
-    """Returns (type, code, message id, token, [(option number, value)])."""
-    kind, token_length = (data[0] >> 4) & 3, data[0] & 15
-    position, number, options = 4 + token_length, 0, []
-    while position < len(data) and data[position] != 0xFF:
-        delta, length = data[position] >> 4, data[position] & 15
-        position += 1
-        fields = []
-        for field in (delta, length):
-            if field == 13:
-                field, position = data[position] + 13, position + 1
-            elif field == 14:
-                field = struct.unpack_from("!H", data, position)[0] + 269
-                position += 2
-            fields.append(field)
-        number += fields[0]
-        options.append((number, data[position:position + fields[1]]))
-        position += fields[1]
-    return kind, data[1], struct.unpack_from("!H", data, 2)[0], data[4:4 + token_length], options
-
-
-def encode(kind, code, message_id, token, options, payload=b""):
-    """Encodes a message; the options must be in ascending order."""
-    data = bytes([0x40 | kind << 4 | len(token), code]) + struct.pack("!H", message_id) + token
-    last = 0
-    for number, value in options:
-        extended, nibbles = b"", []
-        for field in (number - last, len(value)):
-            if field < 13:
-                nibbles.append(field)
-            elif field < 269:
-                nibbles.append(13)
-                extended += bytes([field - 13])
-            else:
-                nibbles.append(14)
-                extended += struct.pack("!H", field - 269)
-        data += bytes([nibbles[0] << 4 | nibbles[1]]) + extended + value
-        last = number
-    return data + (b"\xff" + payload if payload else b"")
-
-
 class ChallengingServer(threading.Thread):
     """Answers each request packet without Echo with a new Echo, and others with success."""
 
@@ -75,7 +34,7 @@
     def run(self):
         while True:
             data, peer = self.socket.recvfrom(2048)
-            kind, code, message_id, token, options = parse(data)
+            _, code, message_id, token, options = parse(data)
             if code == 0 or code >= 0x40:
                 continue
             echoes = [value for number, value in options if number == ECHO]
@@ -85,14 +44,14 @@
             self.requests.append((path, queries["id"], echoes))
             if not echoes:
                 self.issued += 1
-                answer = encode(2, CHALLENGE, message_id, token,
+                answer = encode(ACK, CHALLENGE, message_id, token,
                                 [(ECHO, b"echo-%d" % self.issued)])
             elif path == "stock":
-                answer = encode(2, CONTENT, message_id, token, [(OBSERVE, b"\x01")],
+                answer = encode(ACK, CONTENT, message_id, token, [(OBSERVE, b"\x01")],
                                 b'{"service":"orders","upstream":"u"}')
             else:
                 body = json.dumps({"id": queries["id"], "service": "orders"}).encode()
-                answer = encode(2, CHANGED, message_id, token, [(ECHO, b"fresh")], body)
+                answer = encode(ACK, CHANGED, message_id, token, [(ECHO, b"fresh")], body)
             self.socket.sendto(answer, peer)
 
 
--- a/standins/upstream/job_server.cpp
+++ b/standins/upstream/job_server.cpp
@@ -11,6 +11,8 @@
 constexpr double coldSpeed = 0.25;
 constexpr std::int64_t defaultWorkUs = 20'000;
 constexpr std::int64_t maxBodySize = 16'777'216;
+// Time between two reads of the socket that is normal.
+constexpr std::int64_t longestReadGapUs = 70'000;
 constexpr std::uint16_t maxUnacknowledged = 10'000;
 constexpr unsigned largestBlockExponent = 6; // 1024 bytes
 
@@ -70,8 +72,8 @@
 
 job_server::job_server(upstream_options options, coap_context_t *context)
     : m_options(std::move(options)), m_context(context), m_records(m_options.records),
-      m_random(m_options.seed), m_startUs(unixMicroseconds()),
-      m_nextFeedUs(m_startUs + m_options.feedIntervalUs)
+      m_random(m_options.seed), m_startUs(unixMicroseconds()), m_previousReadUs(m_startUs),
+      m_currentReadUs(m_startUs), m_nextFeedUs(m_startUs + m_options.feedIntervalUs)
 {
     coap_set_app_data(context, this);
     coap_register_event_handler(context, &job_server::handleEvent);
@@ -168,9 +170,8 @@
         return "no free slot";
     if (std::uniform_real_distribution<>(0, 1)(m_random) < m_options.shedProbability)
         return "shed";
-    // A packet may have waited in the socket as long as the loop was away.
     const std::int64_t deadlineMs = queryNumber(queries, "deadline", INT32_MAX);
-    if (deadlineMs * 1000 <= m_readDelayUs)
+    if (deadlineMs * 1000 <= longestWaitInSocket())
         return "deadline passed";
     return {};
 }
@@ -309,6 +310,14 @@
                        { "work_us", job.workUs } });
 }
 
+// A packet that is read now has come after the previous read began. When that is long ago, the
+// process was stopped or starved, and the packet may have waited all the time.
+std::int64_t job_server::longestWaitInSocket() const
+{
+    const std::int64_t gapUs = unixMicroseconds() - m_previousReadUs;
+    return gapUs > longestReadGapUs ? gapUs : 0;
+}
+
 double job_server::speed(std::int64_t nowUs) const
 {
     const std::int64_t age = nowUs - m_startUs;
--- a/standins/upstream/job_server.h
+++ b/standins/upstream/job_server.h
@@ -38,9 +38,12 @@
     void advance(std::int64_t nowUs);
     // Time of the next call of advance(), Unix microseconds.
     std::int64_t nextTimer() const;
-    // Tells how long the loop was away before it read the packets that come next. Packets may have
-    // waited that long in the socket, for example while the process was stopped.
-    void setReadDelay(std::int64_t delayUs) { m_readDelayUs = delayUs; }
+    // Call it before each time that packets are read from the socket.
+    void beginRead(std::int64_t nowUs)
+    {
+        m_previousReadUs = m_currentReadUs;
+        m_currentReadUs = nowUs;
+    }
 
     void toggleDrain() { m_draining = !m_draining; }
     // Refuses new work from now on.
@@ -84,6 +87,7 @@
     void answer(const running_job &job);
     void cancel(std::map<std::uint64_t, running_job>::iterator position);
     void record(const char *event, const running_job &job, std::int64_t nowUs);
+    std::int64_t longestWaitInSocket() const;
     double speed(std::int64_t nowUs) const;
 
     upstream_options m_options;
@@ -91,7 +95,8 @@
     record_file m_records;
     std::mt19937_64 m_random;
     std::int64_t m_startUs;
-    std::int64_t m_readDelayUs = 0;
+    std::int64_t m_previousReadUs;
+    std::int64_t m_currentReadUs;
     std::int64_t m_nextFeedUs;
     std::uint64_t m_feedState = 0;
     std::vector<coap_resource_t *> m_feeds;
--- a/standins/upstream/main.cpp
+++ b/standins/upstream/main.cpp
@@ -15,9 +15,7 @@
 
 using namespace oriolehold::standins;
 
-// A loop that was away for longer was stopped or starved; packets waited in the socket meanwhile.
-constexpr std::int64_t noticeableDelayUs = 50'000;
-// Longest wait in one turn, so that a stopped process can be recognised.
+// Longest wait in one turn. It is well below longestReadGapUs, so that a stop of the process shows.
 constexpr std::int64_t longestWaitUs = 20'000;
 // Time for the last answers to leave after the last job.
 constexpr int lastAnswersMs = 200;
@@ -88,10 +86,8 @@
         pollfd descriptors[] = { { coap_context_get_coap_fd(context), POLLIN, 0 },
                                  { signals, POLLIN, 0 } };
         ppoll(descriptors, 2, &wait, nullptr);
-        const std::int64_t nowUs = unixMicroseconds();
-        const std::int64_t awayUs = nowUs - beforeUs - waitUs;
-        server.setReadDelay(awayUs > noticeableDelayUs ? awayUs : 0);
-        server.advance(nowUs);
+        server.advance(unixMicroseconds());
+        server.beginRead(unixMicroseconds());
         coap_io_process(context, COAP_IO_NO_WAIT);
         handleSignals(signals, server, stopping);
     }
