Redirect new orders from a draining agent to another upstream

Ruled out: accepting the order while draining (no new work after 3 s) and a second challenge with a fresh random token per copy (two copies could then run at two upstreams). Change: the ledger records the refusal together with one token for another live upstream; every copy gets the same token.

--- a/packages/core/src/internal/job_service.h
+++ b/packages/core/src/internal/job_service.h
@@ -66,6 +66,8 @@
     agent_job makeJob(const request_context &context, time_point now);
     std::optional<result_code> refusal(const agent_job &job, time_point now);
     bool joinDownload(const request_context &context, const request_digest &bodyDigest);
+    // Refuses a fresh ticket and names another upstream; false when none is live.
+    bool redirectOnce(const request_context &context, const request_digest &digest, time_point now);
     void answerKnownTicket(const request_context &context, const ticket_record &record,
                            time_point now);
 
--- a/packages/core/src/internal/request_ledger.h
+++ b/packages/core/src/internal/request_ledger.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "internal/request_digest.h"
+#include "oriolehold/core/flow_token.h"
 #include "oriolehold/core/result_code.h"
 #include "oriolehold/core/slot_scheduler.h"
 #include "oriolehold/core/types.h"
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <tuple>
 #include <unordered_map>
@@ -48,9 +50,10 @@
 {
     ticket_state state = ticket_state::queued;
     request_digest digest {};
-    job_id job {};                        // queued or running
-    result_code code = result_code::done; // refused or unknown
-    stored_answer answer;                 // done
+    job_id job {};                            // queued or running
+    result_code code = result_code::done;     // refused or unknown
+    stored_answer answer;                     // done
+    std::optional<flow_token_bytes> redirect; // refused, with a token for another upstream
 };
 
 enum class ticket_verdict : std::uint8_t {
@@ -89,7 +92,8 @@
     // Each expects a fresh ticket. queue() returns false when the ledger is full; the ticket is
     // then refused for ever.
     bool queue(const ticket_key &key, const request_digest &digest, job_id job);
-    void refuse(const ticket_key &key, const request_digest &digest, result_code code);
+    void refuse(const ticket_key &key, const request_digest &digest, result_code code,
+                std::optional<flow_token_bytes> redirect = std::nullopt);
 
     // Changes of a ticket that the ledger holds. dispatch() must be called right before the request
     // is sent to the upstream.
--- a/packages/core/src/internal/responder.h
+++ b/packages/core/src/internal/responder.h
@@ -34,11 +34,14 @@
     // Asks the caller to repeat the request with another token: for this agent, or for another one
     // while draining. Returns false, and sends nothing, when draining and no other one is live.
     bool challenge(exchange_id id, time_point now);
+    // A token for another live upstream of the service, empty when there is none.
+    std::optional<flow_token_bytes> issueElsewhere(exchange_id id, time_point now);
+    // Asks the caller to repeat the request with this token.
+    void sendChallenge(exchange_id id, const flow_token_bytes &echo, time_point now);
     // As challenge(), with a token for the given upstream.
     bool redirect(exchange_id id, upstream_id target, time_point now);
 
 private:
-    void sendChallenge(exchange_id id, const flow_token_bytes &echo, time_point now);
     flow_token_bytes echoFor(const endpoint &caller, flow_continuation continuation,
                              time_point now);
 
--- a/packages/core/src/job_service.cpp
+++ b/packages/core/src/job_service.cpp
@@ -110,6 +110,8 @@
 
     ORIOLEHOLD_INVARIANT(context.binding == token_binding::current,
                          "a ticket runs only under a token of this incarnation");
+    if (m_responder.isDraining() && redirectOnce(context, digest, now))
+        return;
     agent_job job = makeJob(context, now);
     job.ticket = context.ticket;
     job.request.ticket = context.ticket.number;
@@ -128,6 +130,19 @@
     dispatch(now);
 }
 
+bool job_service::redirectOnce(const request_context &context, const request_digest &digest,
+                               time_point now)
+{
+    const auto echo = m_responder.issueElsewhere(context.exchange, now);
+    if (!echo)
+        return false;
+    // The refusal is recorded with its token, so that every copy of the request gets the same one
+    // and the order can run under one other ticket at most.
+    m_ledger.refuse(context.ticket, digest, result_code::draining, echo);
+    m_responder.sendChallenge(context.exchange, *echo, now);
+    return true;
+}
+
 void job_service::readBlock(const request_context &context, time_point now)
 {
     sendBlock(context.exchange, { context.caller, bodyDigestOf(context) }, *context.request.block2,
@@ -276,7 +291,10 @@
         return;
     case ticket_state::refused:
     case ticket_state::unknown:
-        m_responder.reject(context.exchange, record.code, now);
+        if (record.redirect)
+            m_responder.sendChallenge(context.exchange, *record.redirect, now);
+        else
+            m_responder.reject(context.exchange, record.code, now);
         return;
     }
 }
--- a/packages/core/src/request_ledger.cpp
+++ b/packages/core/src/request_ledger.cpp
@@ -46,14 +46,15 @@
         return false;
     }
     const bool inserted =
-            m_records.emplace(key, ticket_record { ticket_state::queued, digest, job, {}, {} })
+            m_records.emplace(key, ticket_record { ticket_state::queued, digest, job, {}, {}, {} })
                     .second;
     ORIOLEHOLD_INVARIANT(inserted, "a ticket is queued at most once");
     m_byIssue.insert(key);
     return true;
 }
 
-void request_ledger::refuse(const ticket_key &key, const request_digest &digest, result_code code)
+void request_ledger::refuse(const ticket_key &key, const request_digest &digest, result_code code,
+                            std::optional<flow_token_bytes> redirect)
 {
     evictRefusals();
     if (isFull()) {
@@ -61,7 +62,10 @@
         return;
     }
     const bool inserted =
-            m_records.emplace(key, ticket_record { ticket_state::refused, digest, {}, code, {} })
+            m_records
+                    .emplace(
+                            key,
+                            ticket_record { ticket_state::refused, digest, {}, code, {}, redirect })
                     .second;
     ORIOLEHOLD_INVARIANT(inserted, "a ticket in the ledger is not refused again");
     m_byIssue.insert(key);
--- a/packages/core/src/responder.cpp
+++ b/packages/core/src/responder.cpp
@@ -47,6 +47,12 @@
     return echo.has_value();
 }
 
+std::optional<flow_token_bytes> responder::issueElsewhere(exchange_id id, time_point now)
+{
+    const exchange *open = m_channel.find(id);
+    return open == nullptr ? std::nullopt : m_issuer.issueElsewhere(open->caller, now);
+}
+
 bool responder::redirect(exchange_id id, upstream_id target, time_point now)
 {
     const exchange *open = m_channel.find(id);
