--- a/packages/core/include/oriolehold/core/balancing_policy_factory.h
+++ b/packages/core/include/oriolehold/core/balancing_policy_factory.h
@@ -4,10 +4,16 @@
 
 #include <memory>
 
+// The balancing policies by name, as settings give them.
+
 namespace oriolehold::core {
 
-// The policy with this name, as in the settings of the entry daemon: "weighted-random", "power-of-two",
-// "least-expected-wait" or "smooth-weighted"; nullptr for any other name.
+// Chosen by measurement (bench/balancing_comparison.cpp).
+inline constexpr std::string_view defaultBalancingPolicy = "smooth_weighted";
+
+std::span<const std::string_view> balancingPolicyNames();
+
+// nullptr when no policy has this name.
 std::unique_ptr<balancing_policy> makeBalancingPolicy(std::string_view name);
 
 } // namespace oriolehold::core
