--- a/packages/core/tests/slot_scheduler_factory_test.cpp
+++ b/packages/core/tests/slot_scheduler_factory_test.cpp
@@ -1,8 +1,12 @@
 #include "oriolehold/core/slot_scheduler_factory.h"
 
-#include <CppUTest/TestHarness.h>
-
+#include <algorithm>
+#include <map>
 #include <string>
+#include <vector>
+
+// Redefines new, so it follows the standard headers.
+#include <CppUTest/TestHarness.h>
 
 using namespace oriolehold::core;
 using namespace std::chrono_literals;
@@ -22,6 +26,39 @@
 
 } // namespace
 
+// Runs jobs of mixed lengths on an upstream and returns the number of jobs that finished.
+std::size_t runMixedJobs(slot_scheduler &scheduler, std::size_t slots, std::size_t jobs)
+{
+    constexpr duration lengths[] = { 0ms, 5ms, 10ms, 20ms, 1s };
+    seeded_random random(slots);
+    time_point now {};
+    std::vector<time_point> ends;
+    std::vector<duration> predicted;
+    std::map<job_id, duration> waiting;
+    std::size_t arrived = 0;
+    std::size_t finished = 0;
+    while (arrived < jobs || !ends.empty()) {
+        const auto first = std::ranges::min_element(ends);
+        if (arrived < jobs && (ends.empty() || random.below(2) == 0)) {
+            const job_id id { arrived++ };
+            waiting[id] = lengths[random.below(std::size(lengths))];
+            scheduler.enqueue(
+                    { id, static_cast<std::uint8_t>(random.below(3)), waiting[id], now, now + 1s });
+        } else {
+            now = std::max(now, *first);
+            predicted.erase(predicted.begin() + (first - ends.begin()));
+            ends.erase(first);
+            ++finished;
+        }
+        while (const auto id = scheduler.dequeue(predicted, slots, now)) {
+            predicted.push_back(waiting.at(*id));
+            ends.push_back(now + std::max<duration>(waiting.at(*id), 1ms));
+            CHECK_TRUE(ends.size() <= slots);
+        }
+    }
+    return finished;
+}
+
 TEST_GROUP(slot_scheduler_factory) {};
 
 TEST(slot_scheduler_factory, EveryNameMakesTheSchedulerOfThatName)
@@ -90,3 +127,15 @@
         CHECK_TRUE(scheduler->expectedWait(0, 10ms, running, 2, {}) == 5ms);
     }
 }
+
+// Guards against jobs that are held back for ever while no event would ask the scheduler again.
+TEST(slot_scheduler_factory, EverySchedulerFinishesAMixedWorkload)
+{
+    for (const std::string_view name : names) {
+        for (std::size_t slots = 1; slots <= 5; ++slots) {
+            const auto scheduler = makeScheduler(name);
+            CHECK_EQUAL(2000U, runMixedJobs(*scheduler, slots, 2000));
+            CHECK_EQUAL(0U, scheduler->size());
+        }
+    }
+}
