--- a/packages/core/src/agent_receive.cpp
+++ b/packages/core/src/agent_receive.cpp
@@ -57,7 +57,7 @@
         if (!confirmed)
             drop(result_code::unknownFlow);
         else if (confirmed->feed)
-            m_feeds.acknowledge(*confirmed->feed, packet.now);
+            m_feeds.acknowledge(*confirmed->feed, packet.entry, packet.now);
         return;
     }
     if (message.type() != message_type::reset) {
@@ -116,8 +116,9 @@
                                                              : result_code::tokenInvalid;
     if (requestClass != nullptr && requestClass->idempotent) {
         code = result_code::challenge;
-        echo = m_drainStarted ? m_issuer.issueElsewhere(packet.caller, packet.now).value_or(echo)
-                              : m_issuer.issue(packet.caller, packet.now);
+        const flow_token_bytes own = m_issuer.issue(packet.caller, packet.now);
+        echo = m_drainStarted ? m_issuer.issueElsewhere(packet.caller, packet.now).value_or(own)
+                              : own;
         options.echo = echo;
     }
     options.messageId =
--- a/packages/core/src/feed_service.cpp
+++ b/packages/core/src/feed_service.cpp
@@ -18,6 +18,8 @@
 // paused, gives the feed up: the caller has registered with another agent meanwhile, and a feed has
 // one owner only.
 constexpr int lapsedIntervals = 3;
+// Repeated registrations that wait for the first state of one feed.
+constexpr std::size_t maxRegistrations = 16;
 
 } // namespace
 
@@ -141,11 +143,12 @@
     endWith(*item, result_code::upstreamFailed, now);
 }
 
-void feed_service::acknowledge(feed_id id, time_point now)
+void feed_service::acknowledge(feed_id id, const endpoint &entry, time_point now)
 {
     feed *item = m_feeds.find(id);
     if (item == nullptr)
         return;
+    item->entry = entry;
     item->confirmableOpen = false;
     item->lastConfirmable = now;
 }
@@ -256,7 +259,10 @@
 void feed_service::answerRegistration(feed &item, exchange_id exchange, time_point now)
 {
     if (item.content == nullptr) {
-        item.registrations.push_back(exchange);
+        if (item.registrations.size() < maxRegistrations)
+            item.registrations.push_back(exchange);
+        else
+            m_channel.abandon(exchange);
         schedule(item);
         return;
     }
--- a/packages/core/src/internal/feed_service.h
+++ b/packages/core/src/internal/feed_service.h
@@ -31,7 +31,7 @@
 
     void update(feed_id id, byte_view content, time_point now);
     void end(feed_id id, time_point now);
-    void acknowledge(feed_id id, time_point now);
+    void acknowledge(feed_id id, const endpoint &entry, time_point now);
     // The caller rejected a notification of the feed. Returns false when there is no such feed.
     bool reject(const endpoint &caller, std::uint16_t messageId);
     // A confirmable notification was never acknowledged.
--- a/packages/core/src/internal/request_ledger.h
+++ b/packages/core/src/internal/request_ledger.h
@@ -112,7 +112,8 @@
 
     request_ledger_options m_options;
     std::unordered_map<ticket_key, ticket_record, ticket_key_hash> m_records;
-    std::set<ticket_key> m_byIssue;  // all records
+    // Records that can expire. A job that outlives its ticket keeps its record until it ends.
+    std::set<ticket_key> m_byIssue;
     std::set<ticket_key> m_refusals; // records that the watermark can replace
     std::size_t m_answerBytes = 0;
     // Tickets without a record that were issued at or before this time are refused.
--- a/packages/core/src/request_ledger.cpp
+++ b/packages/core/src/request_ledger.cpp
@@ -15,10 +15,6 @@
     const std::int64_t forgotten = std::int64_t { m_oldestAccepted } - clockTolerance.count();
     while (!m_byIssue.empty() && m_byIssue.begin()->issuedAt < forgotten) {
         const ticket_key key = *m_byIssue.begin();
-        const ticket_state state = m_records.at(key).state;
-        // A job that outlives its ticket keeps its record until it ends.
-        if (state == ticket_state::queued || state == ticket_state::running)
-            break;
         erase(key);
     }
 }
@@ -49,7 +45,6 @@
             m_records.emplace(key, ticket_record { ticket_state::queued, digest, job, {}, {} })
                     .second;
     ORIOLEHOLD_INVARIANT(inserted, "a ticket is queued at most once");
-    m_byIssue.insert(key);
     return true;
 }
 
@@ -90,6 +85,7 @@
         return;
     record->state = ticket_state::refused;
     record->code = code;
+    m_byIssue.insert(key);
     m_refusals.insert(key);
 }
 
@@ -105,6 +101,7 @@
         return;
     record->state = ticket_state::refused;
     record->code = code;
+    m_byIssue.insert(key);
     m_refusals.insert(key);
 }
 
@@ -118,6 +115,7 @@
     record->state = ticket_state::done;
     record->answer = std::move(answer);
     m_answerBytes += record->answer.payload ? record->answer.payload->size() : 0;
+    m_byIssue.insert(key);
 }
 
 void request_ledger::finishUnknown(const ticket_key &key, result_code code)
@@ -129,6 +127,7 @@
         return;
     record->state = ticket_state::unknown;
     record->code = code;
+    m_byIssue.insert(key);
 }
 
 ticket_record *request_ledger::find(const ticket_key &key)
--- a/packages/core/tests/agent_core_test.cpp
+++ b/packages/core/tests/agent_core_test.cpp
@@ -303,6 +303,8 @@
 
     agent.complete(0, "booked");
     CHECK_TRUE(agent.lastPayload() == "booked");
+    agent.receive(order(agent.token(1), 3));
+    CHECK_TRUE(agent.lastPayload() == "booked"); // a known ticket
     agent.pass(5s);
     CHECK_TRUE(agent.core->drained(agent.now));
     CHECK_EQUAL(1, agent.actions.jobs.size());
--- a/packages/core/tests/handover_sender_test.cpp
+++ b/packages/core/tests/handover_sender_test.cpp
@@ -21,15 +21,19 @@
     agent_under_test one { upstreamOne };
     agent_under_test two { upstreamTwo };
     agent_under_test three { upstreamThree };
-    std::map<endpoint, agent_under_test *> agents { { agentOne, &one },
-                                                    { agentTwo, &two },
-                                                    { agentThree, &three } };
-    std::set<endpoint> unreachable;
+    std::vector<std::pair<endpoint, agent_under_test *>> agents { { agentOne, &one },
+                                                                  { agentTwo, &two },
+                                                                  { agentThree, &three } };
+    std::vector<endpoint> unreachable;
     std::set<handover_step> lostSteps; // the next message of each step is lost
     bool duplicate = false;
     std::vector<handover_step> steps; // that were delivered
     handover_message lastCommit;
 
+    bool isUnreachable(const endpoint &address) const
+    {
+        return std::ranges::find(unreachable, address) != unreachable.end();
+    }
     void exchangeMessages()
     {
         for (bool delivered = true; delivered;) {
@@ -42,11 +46,15 @@
                 delivered = true;
                 if (message.step == handover_step::commit)
                     lastCommit = message;
-                const bool lost = unreachable.contains(to) || unreachable.contains(from)
+                const bool lost = isUnreachable(to) || isUnreachable(from)
                         || lostSteps.erase(message.step) > 0;
+                agent_under_test *receiver =
+                        std::ranges::find(agents, to,
+                                          &std::pair<endpoint, agent_under_test *>::first)
+                                ->second;
                 for (int copies = lost ? 0 : duplicate ? 2 : 1; copies > 0; --copies) {
                     steps.push_back(message.step);
-                    agents.at(to)->core->receiveHandover(from, message, agents.at(to)->now);
+                    receiver->core->receiveHandover(from, message, receiver->now);
                 }
             }
         }
@@ -262,6 +270,16 @@
                 two.core->report(two.now).connections + three.core->report(three.now).connections);
 }
 
+TEST(handover_sender, OwnerThatWasPausedForTooLongDoesNotCommit)
+{
+    subscribe();
+    one.core->drain(one.now);
+    one.now += 16s; // three keep-alive intervals of 5 s have passed
+    exchangeMessages();
+
+    CHECK_EQUAL(0, std::ranges::count(steps, handover_step::commit));
+}
+
 TEST(handover_sender, MessageOfAnotherServiceIsDropped)
 {
     handover_message commit { handover_step::commit, 1, firstIncarnation, {} };
--- a/packages/core/tests/request_ledger_test.cpp
+++ b/packages/core/tests/request_ledger_test.cpp
@@ -84,6 +84,20 @@
     CHECK_TRUE(verdict({ start, 1 }) == ticket_verdict::expired);
 }
 
+TEST(request_ledger, LongJobKeepsItsRecordAndDoesNotDelayTheExpiryOfOthers)
+{
+    queue({ start, 1 });
+    ledger.refuse({ start + 1, 2 }, digest, result_code::queueFull);
+    ledger.expire(at(start + 200));
+    CHECK_TRUE(verdict({ start, 1 }) == ticket_verdict::known);
+    CHECK_EQUAL(1, ledger.size());
+
+    ledger.dispatch({ start, 1 });
+    ledger.finishUnknown({ start, 1 }, result_code::upstreamTimeout);
+    ledger.expire(at(start + 201));
+    CHECK_EQUAL(0, ledger.size());
+}
+
 TEST(request_ledger, ViolationsOfItsInvariantsAreReported)
 {
     violations = 0;
