--- a/packages/admin/tests/admin_server_test.cpp
+++ b/packages/admin/tests/admin_server_test.cpp
@@ -10,6 +10,7 @@
 
 #include <chrono>
 #include <stdexcept>
+#include <tuple>
 #include <vector>
 
 // Redefines new, so it comes after all other headers.
@@ -55,7 +56,7 @@
     {
         sockaddr_in address = loopback(0);
         socklen_t size = sizeof address;
-        ::bind(m_descriptor, reinterpret_cast<sockaddr *>(&address), size);
+        std::ignore = ::bind(m_descriptor, reinterpret_cast<sockaddr *>(&address), size);
         ::getsockname(m_descriptor, reinterpret_cast<sockaddr *>(&address), &size);
         return { INADDR_LOOPBACK, ntohs(address.sin_port) };
     }
@@ -65,7 +66,8 @@
         const int bufferSize = 2048;
         ::setsockopt(m_descriptor, SOL_SOCKET, SO_RCVBUF, &bufferSize, sizeof bufferSize);
         sockaddr_in address = loopback(server.port);
-        ::connect(m_descriptor, reinterpret_cast<sockaddr *>(&address), sizeof address);
+        std::ignore =
+                ::connect(m_descriptor, reinterpret_cast<sockaddr *>(&address), sizeof address);
         const std::string request = "GET " + std::string(path) + " HTTP/1.1\r\nHost: a\r\n\r\n";
         ::send(m_descriptor, request.data(), request.size(), MSG_NOSIGNAL);
     }
--- a/packages/platform/include/oriolehold/platform/configuration_document.h
+++ b/packages/platform/include/oriolehold/platform/configuration_document.h
@@ -4,6 +4,7 @@
 
 #include <boost/leaf.hpp>
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -12,7 +13,7 @@
 namespace oriolehold::platform {
 
 // Largest document in bytes; the platform stores values of up to 1 MB.
-inline constexpr std::size_t maxDocumentSize = 1024 * 1024;
+inline constexpr std::size_t maxDocumentSize = std::size_t { 1024 } * 1024;
 
 // LEAF error object: what is wrong with a document.
 struct document_error
--- a/packages/platform/src/configuration_document.cpp
+++ b/packages/platform/src/configuration_document.cpp
@@ -192,7 +192,7 @@
     core::endpoint readAddress(json_object &object, std::string_view field)
     {
         const core::endpoint address = object.address(field);
-        m_addresses.add(object, field, address);
+        m_addresses.add(object, field, core::toString(address));
         return address;
     }
 
@@ -203,7 +203,7 @@
     unique_values<core::upstream_id> m_upstreams;
     unique_values<std::pair<core::service_id, std::uint8_t>> m_indexes;
     unique_values<core::entry_id> m_entries;
-    unique_values<core::endpoint> m_addresses;
+    unique_values<std::string> m_addresses;
 };
 
 std::string renderSecret(const core::token_key &key)
--- a/packages/platform/src/settings.cpp
+++ b/packages/platform/src/settings.cpp
@@ -14,7 +14,7 @@
 using internal::error_collector;
 using internal::json_object;
 
-constexpr std::size_t maxSettingsSize = 256 * 1024; // bytes
+constexpr std::size_t maxSettingsSize = std::size_t { 256 } * 1024; // bytes
 constexpr std::size_t maxListeners = 1024;
 constexpr std::size_t maxPeers = 64;
 constexpr std::uint64_t maxTrafficThreads = 64;
--- a/packages/platform/tests/command_line_test.cpp
+++ b/packages/platform/tests/command_line_test.cpp
@@ -11,6 +11,7 @@
 std::optional<command_line> parse(std::vector<std::string> arguments, int &exitCode)
 {
     std::vector<char *> pointers;
+    pointers.reserve(arguments.size());
     for (std::string &argument : arguments)
         pointers.push_back(argument.data());
     return parseCommandLine(pointers, "oriolehold-entry", exitCode);
--- a/packages/platform/tests/fake_http_server.h
+++ b/packages/platform/tests/fake_http_server.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <string>
 #include <thread>
+#include <tuple>
 
 // HTTP server on a free loopback port whose answers a test decides.
 
@@ -29,7 +30,7 @@
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof address;
     auto *generic = reinterpret_cast<sockaddr *>(&address);
-    ::bind(descriptor, generic, size);
+    std::ignore = ::bind(descriptor, generic, size);
     ::getsockname(descriptor, generic, &size);
     ::close(descriptor);
     return { INADDR_LOOPBACK, ntohs(address.sin_port) };
--- a/standins/platform/document_store.cpp
+++ b/standins/platform/document_store.cpp
@@ -28,7 +28,7 @@
     return true;
 }
 
-document_store::document_store(std::filesystem::path directory)
+document_store::document_store(const std::filesystem::path &directory)
 {
     m_configurationFile.path = directory / "configuration.json";
     m_oldFile.path = directory / "configuration.old.json";
--- a/standins/platform/document_store.h
+++ b/standins/platform/document_store.h
@@ -28,7 +28,7 @@
 class document_store
 {
 public:
-    explicit document_store(std::filesystem::path directory);
+    explicit document_store(const std::filesystem::path &directory);
 
     // Reads files that changed and wakes the waiting readers. Call it often.
     void refresh();
