--- a/scripts/demo_report.py
+++ b/scripts/demo_report.py
@@ -7,6 +7,9 @@
 # Windows in which a service uses less of its capacity hold too few jobs to divide them evenly.
 LEAST_UTILIZATION = 0.1
 WINDOW_US = 1_000_000
+# A run in which more of the requests than this share failed shows too little, even without a
+# single wrong answer.
+MOST_FAILED = 0.5
 
 
 def read_records(path):
@@ -189,6 +192,11 @@
                    "incomplete_answers": self.incomplete}
         if not owner_loss_planned:
             checked["broken_flows"] = self.broken_flows
+        for kind, requests in (("orders", self.orders), ("guides", self.guides)):
+            failed = [record for record in requests if record["outcome"] != "done"
+                      and not record.get("canceled")]
+            if len(failed) > MOST_FAILED * len(requests):
+                checked["few_done_" + kind] = failed
         return {name: records for name, records in checked.items() if records}
 
     def summary(self, packets):
