--- a/packages/core/include/oriolehold/core/balancing_policy_factory.h
+++ b/packages/core/include/oriolehold/core/balancing_policy_factory.h
@@ -9,7 +9,7 @@
 namespace oriolehold::core {
 
 // Chosen by measurement (bench/balancing_comparison.cpp).
-inline constexpr std::string_view defaultBalancingPolicy = "smooth_weighted";
+inline constexpr std::string_view defaultBalancingPolicy = "smooth-weighted";
 
 std::span<const std::string_view> balancingPolicyNames();
 
--- a/packages/core/include/oriolehold/core/least_expected_wait_policy.h
+++ b/packages/core/include/oriolehold/core/least_expected_wait_policy.h
@@ -10,7 +10,7 @@
 class least_expected_wait_policy final : public balancing_policy
 {
 public:
-    std::string_view name() const override { return "least_expected_wait"; }
+    std::string_view name() const override { return "least-expected-wait"; }
     std::size_t choose(std::span<const upstream_candidate> candidates,
                        random_source &random) override;
 };
--- a/packages/core/include/oriolehold/core/power_of_two_policy.h
+++ b/packages/core/include/oriolehold/core/power_of_two_policy.h
@@ -9,7 +9,7 @@
 class power_of_two_policy final : public balancing_policy
 {
 public:
-    std::string_view name() const override { return "power_of_two"; }
+    std::string_view name() const override { return "power-of-two"; }
     std::size_t choose(std::span<const upstream_candidate> candidates,
                        random_source &random) override;
 };
--- a/packages/core/include/oriolehold/core/smooth_weighted_policy.h
+++ b/packages/core/include/oriolehold/core/smooth_weighted_policy.h
@@ -11,7 +11,7 @@
 class smooth_weighted_policy final : public balancing_policy
 {
 public:
-    std::string_view name() const override { return "smooth_weighted"; }
+    std::string_view name() const override { return "smooth-weighted"; }
     std::size_t choose(std::span<const upstream_candidate> candidates,
                        random_source &random) override;
 
--- a/packages/core/include/oriolehold/core/weighted_random_policy.h
+++ b/packages/core/include/oriolehold/core/weighted_random_policy.h
@@ -9,7 +9,7 @@
 class weighted_random_policy final : public balancing_policy
 {
 public:
-    std::string_view name() const override { return "weighted_random"; }
+    std::string_view name() const override { return "weighted-random"; }
     std::size_t choose(std::span<const upstream_candidate> candidates,
                        random_source &random) override;
 };
--- a/packages/core/src/balancing_policy_factory.cpp
+++ b/packages/core/src/balancing_policy_factory.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 4> names { "weighted_random", "power_of_two",
-                                                  "least_expected_wait", "smooth_weighted" };
+constexpr std::array<std::string_view, 4> names { "weighted-random", "power-of-two",
+                                                  "least-expected-wait", "smooth-weighted" };
 
 } // namespace
 
@@ -23,13 +23,13 @@
 
 std::unique_ptr<balancing_policy> makeBalancingPolicy(std::string_view name)
 {
-    if (name == "weighted_random")
+    if (name == "weighted-random")
         return std::make_unique<weighted_random_policy>();
-    if (name == "power_of_two")
+    if (name == "power-of-two")
         return std::make_unique<power_of_two_policy>();
-    if (name == "least_expected_wait")
+    if (name == "least-expected-wait")
         return std::make_unique<least_expected_wait_policy>();
-    if (name == "smooth_weighted")
+    if (name == "smooth-weighted")
         return std::make_unique<smooth_weighted_policy>();
     return nullptr;
 }
--- a/packages/platform/include/oriolehold/platform/settings.h
+++ b/packages/platform/include/oriolehold/platform/settings.h
@@ -46,7 +46,7 @@
     std::string drainKey;              // empty: no drain over HTTP
     std::vector<core::endpoint> peers; // admin addresses of other processes
     unsigned trafficThreads = 1;
-    std::string policy = "least-expected-wait";
+    std::string policy = "smooth-weighted";
     std::chrono::milliseconds suspectAfter { 1500 };
     std::chrono::milliseconds warmUp { 10000 };
     std::chrono::seconds drainLimit { 30 };
--- a/packages/platform/tests/settings_test.cpp
+++ b/packages/platform/tests/settings_test.cpp
@@ -69,7 +69,7 @@
                          .c_str());
     STRCMP_EQUAL("127.0.0.1:18101", core::toString(settings.listeners[0].address).c_str());
     LONGS_EQUAL(1500, settings.suspectAfter.count());
-    STRCMP_EQUAL("least-expected-wait", settings.policy.c_str());
+    STRCMP_EQUAL("smooth-weighted", settings.policy.c_str());
     CHECK_TRUE(settings.drainKey.empty());
 }
 
--- a/packages/random_run/src/processes.cpp
+++ b/packages/random_run/src/processes.cpp
@@ -48,7 +48,7 @@
 
 entry_process::entry_process(world &world, const core::entry_instance &description)
     : m_world(world), m_description(description), m_node(world.network().addNode(description.zone)),
-      m_policy(core::makeBalancingPolicy("least-expected-wait")), m_moduloPolicy(world),
+      m_policy(core::makeBalancingPolicy(core::defaultBalancingPolicy)), m_moduloPolicy(world),
       m_router(routerOptions(description),
                world.options().variant == variant::moduloRouting
                        ? static_cast<core::balancing_policy &>(m_moduloPolicy)
