Format the upstream client

Cause: the style check found one line. Ruled out: nothing else was reported by the formatter. Figures: style check of the formatter clean after the change. Conclusion: formatting only.

--- a/packages/agent/src/upstream_client.cpp
+++ b/packages/agent/src/upstream_client.cpp
@@ -131,8 +131,8 @@
                 ? COAP_REQUEST_CODE_GET
                 : COAP_REQUEST_CODE_POST;
         m_jobs.insert(core::toInteger(request.job));
-        if (!send(COAP_MESSAGE_NON, code, makeToken(token_kind::job, core::toInteger(request.job)), options,
-                  request.payload))
+        if (!send(COAP_MESSAGE_NON, code, makeToken(token_kind::job, core::toInteger(request.job)),
+                  options, request.payload))
             m_unsent.push_back(request.job);
     }
 
