Test entry router with randomly changed packets

Cause: forged and truncated packets must never leave their service or be amplified. Figures: 20,000 changed packets, no forward to another service, no reply above three times the request.

--- a/packages/core/tests/entry_router_test.cpp
+++ b/packages/core/tests/entry_router_test.cpp
@@ -170,6 +170,22 @@
     }
 }
 
+TEST(entry_router, RandomlyChangedPacketsStayWithinServiceAndSizeLimit)
+{
+    seeded_random random(7);
+    for (int i = 0; i < 20'000; ++i) {
+        const auto owner = static_cast<std::uint16_t>(1 + random.below(4));
+        const service_id service = random.below(2) == 0 ? orders : catalog;
+        coap::byte_vector packet = orderRequest(fixture.tokenFor(owner, service));
+        for (std::uint64_t change = random.below(4); change > 0; --change)
+            packet[random.below(packet.size())] = static_cast<std::uint8_t>(random.next());
+        packet.resize(packet.size() - random.below(2) * random.below(packet.size()));
+        const route_decision decision = fixture.route(packet);
+        CHECK_FALSE(isForwardTo(decision, 4)); // serves catalog
+        CHECK_TRUE(decision.reply.size() + 28 <= 3 * (packet.size() + 28));
+    }
+}
+
 TEST(entry_router, SilentAgentIsAvoidedWhileOthersAreHeard)
 {
     fixture.passTime(1s, { 1, 2, 3 });
