Keep the fields of the fast path of an upstream view in one cache line

Cause: with 3,600 upstreams a packet cost about 25% more than with 10, from cache misses in the configuration and in the view. Ruled out: unrolled big-endian decoding in the token codec; open stayed at 76-80 ns. Conclusion: agent and service are copied into the view, and the views are aligned.

--- a/packages/core/src/entry_router.cpp
+++ b/packages/core/src/entry_router.cpp
@@ -224,7 +224,7 @@
         upstream_view &view = table.upstreams.emplace_back(item, item.zone == m_options.zone);
         const upstream_view *former =
                 m_table.upstreamsById.find(toInteger(item.id), m_table.upstreams);
-        if (former != nullptr && former->upstream().agent == item.agent)
+        if (former != nullptr && former->agent() == item.agent)
             view.adopt(*former);
         else if (generation() != 0)
             view.startWarmUp(now);
@@ -295,20 +295,20 @@
     if (opened.status != token_status::valid || token.service != packet.service.service->id)
         return refuseToken(packet);
     upstream_view *owner = m_table.upstreamsById.find(toInteger(token.upstream), m_table.upstreams);
-    const bool listed = owner != nullptr && owner->upstream().agent == token.agent
-            && owner->upstream().service == token.service;
+    const bool listed =
+            owner != nullptr && owner->agent() == token.agent && owner->service() == token.service;
     return listed ? routeToListed(packet, *owner) : routeToUnlisted(packet, token);
 }
 
 route_decision entry_router::implementation::routeToListed(const packet_context &packet,
                                                            upstream_view &owner)
 {
-    ORIOLEHOLD_INVARIANT(owner.upstream().service == packet.service.service->id,
+    ORIOLEHOLD_INVARIANT(owner.service() == packet.service.service->id,
                          "a packet is forwarded within its service");
     if (isSuspect(owner.life(), packet.now)) [[unlikely]]
-        return routeToDoubtful(packet, owner.upstream().agent, owner.life(), false);
+        return routeToDoubtful(packet, owner.agent(), owner.life(), false);
     owner.life().markSent(packet.now);
-    return forwardTo(owner.upstream().agent);
+    return forwardTo(owner.agent());
 }
 
 // The owner was removed, or this router's configuration is older than the token.
@@ -511,7 +511,7 @@
     };
     for (upstream_view &view : m_table.upstreams) {
         const bool live = view.upstream().state == upstream_state::live;
-        consider(view.upstream().agent, view.life(), live);
+        consider(view.agent(), view.life(), live);
     }
     for (internal::unlisted_agents::entry &item : m_unlisted.entries())
         consider(item.agent, item.life, false);
--- a/packages/core/src/internal/upstream_view.cpp
+++ b/packages/core/src/internal/upstream_view.cpp
@@ -70,7 +70,8 @@
 }
 
 upstream_view::upstream_view(const core::upstream &upstream, bool sameZone)
-    : m_upstream(&upstream), m_sameZone(sameZone)
+    : m_upstream(&upstream), m_agent(upstream.agent), m_service(upstream.service),
+      m_sameZone(sameZone)
 { }
 
 void upstream_view::adopt(const upstream_view &former)
--- a/packages/core/src/internal/upstream_view.h
+++ b/packages/core/src/internal/upstream_view.h
@@ -14,9 +14,9 @@
 // Signs of life of one agent.
 struct liveness
 {
-    std::optional<time_point> heardAt;
     std::optional<time_point> unansweredSince; // first forward or probe since heardAt
     std::optional<time_point> unreachableAt;   // notice since heardAt
+    std::optional<time_point> heardAt;
     std::optional<time_point> probedAt;
 
     void markSent(time_point now);
@@ -43,8 +43,9 @@
     time_point m_hearingSince {}; // end of the last time without any message
 };
 
-// Load and liveness of one configured upstream.
-class upstream_view
+// Load and liveness of one configured upstream. What a packet of an established flow needs stands
+// first and in one cache line.
+class alignas(64) upstream_view
 {
 public:
     upstream_view(const core::upstream &upstream, bool sameZone);
@@ -53,6 +54,8 @@
     void adopt(const upstream_view &former);
 
     const core::upstream &upstream() const { return *m_upstream; }
+    const endpoint &agent() const { return m_agent; }
+    service_id service() const { return m_service; }
     liveness &life() { return m_life; }
     const liveness &life() const { return m_life; }
 
@@ -72,6 +75,8 @@
     double warmth(duration warmUp, time_point now) const;
 
     const core::upstream *m_upstream;
+    endpoint m_agent;
+    service_id m_service;
     bool m_sameZone;
     liveness m_life;
     std::optional<agent_report> m_report;
