Test silence after a lost commit and the deadline check at dispatch

Three mutations of the code had passed the tests: no deadline check at dispatch, a feed that is not frozen at the commit, and confirmable notifications that go on after it.

--- a/packages/core/tests/agent_core_test.cpp
+++ b/packages/core/tests/agent_core_test.cpp
@@ -139,6 +139,17 @@
     CHECK_TRUE(agent.lastCode() == result_code::deadlinePassed);
 }
 
+TEST(agent_core, DeadlineIsCheckedAgainBeforeDispatch)
+{
+    agent.receive(order(agent.token(1), 1));
+    agent.receive(order(agent.token(2), 2));
+    agent.now += 10s; // a pause, and the answer is the first event after it
+    agent.complete(0, "late");
+
+    CHECK_EQUAL(1, agent.actions.jobs.size());
+    CHECK_TRUE(agent.lastCode() == result_code::deadlinePassed);
+}
+
 TEST(agent_core, SlotOfAnUnansweredJobStaysOccupiedForABoundedTime)
 {
     agent.receive(order(agent.token(1), 1));
@@ -325,6 +336,24 @@
     CHECK_EQUAL(2, agent.actions.jobs.size());
 }
 
+TEST(agent_core, RepeatedFirstBlockOfAnOpenDownloadIsServedFromItsBody)
+{
+    packet request = get("reports", agent.token(1), 1);
+    request.block2 = { 0, false, 2 };
+    agent.receive(request);
+    agent.complete(0, std::string(1500, 'r'));
+    CHECK_EQUAL(64, agent.last().payload().size());
+    CHECK_EQUAL(1500, *agent.last().uintOption(oriolehold::coap::option_number::size2));
+    const auto etag = *agent.last().option(oriolehold::coap::option_number::etag);
+    const byte_vector first(etag.begin(), etag.end());
+    request.messageId = 2;
+    agent.receive(request);
+
+    CHECK_EQUAL(1, agent.actions.jobs.size());
+    CHECK_TRUE(
+            std::ranges::equal(first, *agent.last().option(oriolehold::coap::option_number::etag)));
+}
+
 TEST(agent_core, RepeatedDownloadRequestJoinsTheRunningOne)
 {
     agent.receive(get("reports", agent.token(1), 1));
--- a/packages/core/tests/handover_random_test.cpp
+++ b/packages/core/tests/handover_random_test.cpp
@@ -44,6 +44,7 @@
         for (int i = 0; i < 300; ++i)
             step(true);
     }
+    bool onlyOwnersNotify() const { return m_onlyOwnersNotify; }
     std::size_t mostOwners() const { return m_mostOwners; }
     bool everyFeedHasAnOwner() const
     {
@@ -106,6 +107,7 @@
                 m_network.push_back({ i, static_cast<std::size_t>(target), message });
             }
             for (const delivery &item : std::exchange(actions.deliveries, {})) {
+                m_onlyOwnersNotify = m_onlyOwnersNotify && owns(i, item.view().token()[0]);
                 if (item.view().type() == message_type::confirmable)
                     m_agents[i].receiveEmpty(message_type::acknowledgement,
                                              item.view().messageId());
@@ -122,17 +124,18 @@
         }
     }
     bool isPaused(std::size_t agent) const { return m_pausedUntil[agent] > m_time; }
+    bool owns(std::size_t index, std::uint8_t token) const
+    {
+        const recording_actions &actions = m_agents[index].actions;
+        return std::ranges::any_of(actions.startedFeeds, [&](const auto &item) {
+            return item.second.token[0] == token
+                    && std::ranges::find(actions.stoppedFeeds, item.first)
+                    == actions.stoppedFeeds.end();
+        });
+    }
     std::size_t ownersOf(std::uint8_t token) const
     {
-        std::size_t owners = 0;
-        for (const agent_under_test &agent : m_agents) {
-            for (const auto &[feed, state] : agent.actions.startedFeeds) {
-                const bool stopped = std::ranges::find(agent.actions.stoppedFeeds, feed)
-                        != agent.actions.stoppedFeeds.end();
-                owners += state.token[0] == token && !stopped ? 1 : 0;
-            }
-        }
-        return owners;
+        return (owns(0, token) ? 1 : 0) + (owns(1, token) ? 1 : 0) + (owns(2, token) ? 1 : 0);
     }
     void checkOwners()
     {
@@ -149,6 +152,7 @@
     std::vector<in_flight> m_network;
     duration m_time {};
     std::size_t m_mostOwners = 0;
+    bool m_onlyOwnersNotify = true;
 };
 
 } // namespace
@@ -162,6 +166,7 @@
         random_handovers run(seed);
         run.run();
         CHECK_EQUAL_TEXT(1, run.mostOwners(), std::to_string(seed).c_str());
+        CHECK_TRUE_TEXT(run.onlyOwnersNotify(), std::to_string(seed).c_str());
         CHECK_TRUE_TEXT(run.everyFeedHasAnOwner(), std::to_string(seed).c_str());
         CHECK_EQUAL(feedCount, run.feedsOf(2));
     }
--- a/packages/core/tests/handover_sender_test.cpp
+++ b/packages/core/tests/handover_sender_test.cpp
@@ -25,7 +25,8 @@
                                                                   { agentTwo, &two },
                                                                   { agentThree, &three } };
     std::vector<endpoint> unreachable;
-    std::set<handover_step> lostSteps; // the next message of each step is lost
+    std::set<handover_step> lostSteps;        // the next message of each step is lost
+    std::optional<handover_step> blockedStep; // all messages of this step are lost
     bool duplicate = false;
     std::vector<handover_step> steps; // that were delivered
     handover_message lastCommit;
@@ -47,7 +48,7 @@
                 if (message.step == handover_step::commit)
                     lastCommit = message;
                 const bool lost = isUnreachable(to) || isUnreachable(from)
-                        || lostSteps.erase(message.step) > 0;
+                        || lostSteps.erase(message.step) > 0 || blockedStep == message.step;
                 agent_under_test *receiver =
                         std::ranges::find(agents, to,
                                           &std::pair<endpoint, agent_under_test *>::first)
@@ -158,15 +159,22 @@
 TEST(handover_sender, OldOwnerIsSilentAfterTheCommitEvenWhenItIsLost)
 {
     subscribe();
-    unreachable = { agentThree };
+    for (int i = 0; i < 16; ++i)
+        update(one, std::to_string(i));
+    CHECK_TRUE(one.last().type() == message_type::confirmable); // without an acknowledgement
+    blockedStep = handover_step::commit;
     one.core->drain(one.now);
     exchangeMessages();
-    pass(2s); // the second agent owns the feed
     const std::size_t sent = one.actions.deliveries.size();
-    CHECK_EQUAL(1, two.actions.startedFeeds.size());
     update(one, "4 left");
     pass(10s);
     CHECK_EQUAL(sent, one.actions.deliveries.size());
+    CHECK_EQUAL(0, owners());
+
+    blockedStep.reset();
+    pass(3s);
+    CHECK_EQUAL(1, owners());
+    CHECK_EQUAL(0, one.core->report(one.now).connections);
 }
 
 TEST(handover_sender, LateCopyOfACommitDoesNotReviveAFeedThatHasEnded)
