--- a/packages/core/src/body_store.cpp
+++ b/packages/core/src/body_store.cpp
@@ -16,7 +16,7 @@
     ++m_unfinished;
     const std::uint64_t etag = shortDigestOf(*payload);
     const auto place = m_recent.insert(m_recent.end(), key);
-    m_bodies.emplace(key, body { code, std::move(payload), etag, false, place });
+    m_bodies.emplace(key, body { code, std::move(payload), etag, false, now, place });
     m_expiry.set(key, now + m_options.idleLifetime);
     return true;
 }
@@ -50,10 +50,11 @@
     return result;
 }
 
-bool body_store::isUnfinished(const body_key &key) const
+bool body_store::isFresh(const body_key &key, time_point now) const
 {
     const auto found = m_bodies.find(key);
-    return found != m_bodies.end() && !found->second.finished;
+    return found != m_bodies.end() && !found->second.finished
+            && now - found->second.created < m_options.retryTime;
 }
 
 void body_store::expire(time_point now)
--- a/packages/core/src/internal/body_store.h
+++ b/packages/core/src/internal/body_store.h
@@ -56,6 +56,8 @@
     duration idleLifetime = std::chrono::seconds { 30 };
     // After the last block, for a caller that lost it.
     duration finishedLifetime = std::chrono::seconds { 5 };
+    // A repeated request for the first block within this time is a retry, not a new request.
+    duration retryTime = std::chrono::seconds { 10 };
 };
 
 class body_store
@@ -69,8 +71,8 @@
     bool put(const body_key &key, coap::message_code code,
              std::shared_ptr<const byte_vector> payload, time_point now);
     block_result read(const body_key &key, coap::block_option block, time_point now);
-    // Whether a body is held and was not read to its end yet.
-    bool isUnfinished(const body_key &key) const;
+    // Whether a body is held that is recent and was not read to its end yet.
+    bool isFresh(const body_key &key, time_point now) const;
 
     // Bodies that are not read to their end yet.
     std::size_t unfinished() const { return m_unfinished; }
@@ -87,6 +89,7 @@
         std::shared_ptr<const byte_vector> payload;
         std::uint64_t etag = 0;
         bool finished = false;
+        time_point created;
         std::list<body_key>::iterator place; // in m_recent
     };
 
--- a/packages/core/src/job_service.cpp
+++ b/packages/core/src/job_service.cpp
@@ -61,7 +61,7 @@
 {
     const body_key key { context.caller, bodyDigestOf(context) };
     // A repeated request for a download in progress continues with the body that exists.
-    if (m_bodies.isUnfinished(key)) {
+    if (m_bodies.isFresh(key, now)) {
         sendBlock(context.exchange, key, firstBlock(waiterOf(context).blockExponent), now);
         return;
     }
--- a/packages/core/tests/agent_core_test.cpp
+++ b/packages/core/tests/agent_core_test.cpp
@@ -352,6 +352,11 @@
     CHECK_EQUAL(1, agent.actions.jobs.size());
     CHECK_TRUE(
             std::ranges::equal(first, *agent.last().option(oriolehold::coap::option_number::etag)));
+
+    agent.pass(10s);
+    request.messageId = 3;
+    agent.receive(request);
+    CHECK_EQUAL(2, agent.actions.jobs.size()); // a new request
 }
 
 TEST(agent_core, RepeatedDownloadRequestJoinsTheRunningOne)
