Stop the admin server without leaks

Cause: the HTTP library leaks a server whose constructor cannot listen, and does not join a worker that ends early while the server stops (address and thread sanitizer). Ruled out: suppressing the reports; listen() is called after construction and the number of threads is fixed.

--- a/packages/admin/src/admin_server.cpp
+++ b/packages/admin/src/admin_server.cpp
@@ -17,9 +17,9 @@
 
 namespace {
 
-// A connection that sends or reads slowly occupies one of these threads until a timeout.
-constexpr unsigned minThreads = 2;
-constexpr unsigned maxThreads = 16;
+// A connection that sends or reads slowly occupies one of these threads until a timeout. The number
+// is fixed, because the library does not join a thread that ends early while the server stops.
+constexpr unsigned threadCount = 8;
 constexpr std::chrono::milliseconds retryInterval { 100 };
 constexpr double readTimeout = 1000;      // milliseconds
 constexpr double writeTimeout = 2000;     // milliseconds
@@ -43,10 +43,12 @@
 {
 public:
     implementation(core::endpoint listen, status_source &source)
-        : m_service(source), m_server(m_loop, hostOf(listen), listen.port)
+        : m_service(source), m_server(m_loop)
     {
-        m_server.minThreads(minThreads);
-        m_server.maxThreads(maxThreads);
+        // Not in the constructor of the server, which leaks memory when the address is in use.
+        m_server.listen(hostOf(listen), listen.port);
+        m_server.minThreads(threadCount);
+        m_server.maxThreads(threadCount);
         m_server.readTimeout(cxxtools::Milliseconds(readTimeout));
         m_server.writeTimeout(cxxtools::Milliseconds(writeTimeout));
         m_server.keepAliveTimeout(cxxtools::Milliseconds(keepAliveTimeout));
