Record why a download restarted and what a wrong feed state held

Both are needed to find the cause of the faults that trials with the daemons showed. Scenarios no longer wait for a document that the platform cannot serve.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -103,9 +103,10 @@
     slow.agent.resume()
     system.note("agent %d resumed" % slow.number)
     system.set_platform_mode("corrupt")
-    system.leave_entry(paused)
+    system.leave_entry(paused, wait=False)
     time.sleep(1.0)
     system.set_platform_mode("up")
+    system.wait_in_effect()
     system.finish_leaving(first + second)
 
 
@@ -115,7 +116,7 @@
     time.sleep(2.0)
     entry = system.add_entry(wait=False)
     time.sleep(system.options.seconds / 2)
-    system.leave_entry(entry)
+    system.leave_entry(entry, wait=False)
     system.set_platform_mode("up")
     system.wait_in_effect()
 
--- a/scripts/demo_system.py
+++ b/scripts/demo_system.py
@@ -440,13 +440,13 @@
         self.update_map()
         return entry
 
-    def leave_entry(self, entry):
+    def leave_entry(self, entry, wait=True):
         """A planned stop: the network and the document stop naming the entry, then it drains."""
         self.note("entry %d leaves" % entry.number)
         self.update_map([other for other in self.entries if other is not entry
                          and other.process.expected_to_run])
         entry.process.terminate()
-        self.publish()
+        self.publish(wait)
 
     def kill_entry(self, entry):
         self.note("entry %d killed" % entry.number)
--- a/standins/caller/feed.h
+++ b/standins/caller/feed.h
@@ -53,6 +53,7 @@
     std::uint64_t m_notifications = 0;
     std::uint64_t m_staleNotifications = 0;
     std::uint64_t m_wrongService = 0;
+    std::string m_wrongState; // first payload that is not a state of the service
     int m_registrations = 0;
     int m_reRegistrations = 0;
     int m_errors = 0;
--- a/standins/caller/guide.cpp
+++ b/standins/caller/guide.cpp
@@ -78,7 +78,7 @@
         ++m_challenges;
         requestBlock(nowUs);
     } else if (response.code == COAP_RESPONSE_CODE_INCOMPLETE && m_restarts < maxRestarts) {
-        restart(nowUs);
+        restart(response.codeText() + " " + response.payload.substr(0, maxRecordedPayload), nowUs);
     } else if (response.codeClass() == 2) {
         receiveBlock(response, nowUs);
     } else {
@@ -97,7 +97,7 @@
     const bool otherVersion = !m_body.empty() && response.etag != m_etag;
     if (otherVersion || offset != m_body.size()) {
         if (m_restarts < maxRestarts)
-            restart(nowUs);
+            restart(otherVersion ? "other ETag" : "other offset", nowUs);
         else
             finish("unknown", nowUs);
         return;
@@ -114,8 +114,9 @@
     finish("done", nowUs);
 }
 
-void guide::restart(std::int64_t nowUs)
+void guide::restart(const std::string &reason, std::int64_t nowUs)
 {
+    m_lastRestart = reason;
     ++m_restarts;
     m_body.clear();
     m_etag.clear();
@@ -168,6 +169,7 @@
              { "canceled", m_canceled },
              { "received", m_body.size() },
              { "restarts", m_restarts },
+             { "last_restart", m_lastRestart },
              { "resends", m_resends } };
 }
 
--- a/standins/caller/guide.h
+++ b/standins/caller/guide.h
@@ -37,7 +37,7 @@
     void sendRequest();
     void cancel();
     void receiveBlock(const incoming_response &response, std::int64_t nowUs);
-    void restart(std::int64_t nowUs);
+    void restart(const std::string &reason, std::int64_t nowUs);
     void finish(std::string outcome, std::int64_t nowUs);
 
     guide_parameters m_parameters;
@@ -50,6 +50,7 @@
     unsigned m_blockExponent = 6; // block size is 2^(exponent + 4) bytes
     int m_challenges = 0;         // since the last block
     int m_restarts = 0;
+    std::string m_lastRestart; // its reason
     int m_resends = 0;
     std::int64_t m_startUs = 0;
     std::int64_t m_endUs = 0;
