Let feeds observe the same request and check that their state changes

Every feed had a query of its own, which hid what happens when several callers observe the same resource, and an agent's repeated notification of an old state passed for news. A feed now counts as broken after 12 s without a new state.

--- a/standins/caller/feed.cpp
+++ b/standins/caller/feed.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-constexpr std::int64_t longestGapLimitUs = 12'000'000;
+// Upstreams publish a new state every second.
+constexpr std::int64_t longestStandstillLimitUs = 12'000'000;
 // A feed without news is registered again this long after its Max-Age.
 constexpr std::int64_t registrationGraceUs = 2'000'000;
 // Time after which a first registration without answer is repeated.
@@ -45,7 +46,6 @@
     m_pendingToken = m_sender.newToken(true);
     outgoing_request request;
     request.path = { m_parameters.path };
-    request.queries = { "id=" + m_parameters.id };
     request.observe = COAP_OBSERVE_ESTABLISH;
     request.token = m_pendingToken;
     request.echo = m_echo;
@@ -71,7 +71,7 @@
         m_sender.forgetToken(m_token);
         m_token = std::exchange(m_pendingToken, {});
         if (m_establishedUs == 0)
-            m_establishedUs = m_lastContactUs = nowUs;
+            m_establishedUs = m_lastContactUs = m_lastChangeUs = nowUs;
         m_sequence = *response.observe;
     }
     receiveState(response, nowUs);
@@ -97,6 +97,11 @@
             m_wrongState = response.codeText() + " " + response.payload.substr(0, 120);
         return;
     }
+    if (response.payload != m_lastState) {
+        m_lastState = response.payload;
+        m_longestStandstillUs = std::max(m_longestStandstillUs, nowUs - m_lastChangeUs);
+        m_lastChangeUs = nowUs;
+    }
     const std::string upstream = state.value("upstream", "");
     if (m_upstreams.empty() || m_upstreams.back()[1] != upstream)
         m_upstreams.push_back({ nowUs, upstream });
@@ -145,7 +150,6 @@
         return;
     outgoing_request request;
     request.path = { m_parameters.path };
-    request.queries = { "id=" + m_parameters.id };
     request.observe = COAP_OBSERVE_CANCEL;
     request.token = m_token;
     request.echo = m_echo;
@@ -157,7 +161,10 @@
     const bool wasEstablished = m_establishedUs != 0;
     const std::int64_t lastUs = wasEstablished ? m_lastContactUs : m_startUs;
     const std::int64_t gapUs = std::max(m_longestGapUs, nowUs - lastUs);
-    const bool broken = m_errors > 0 || m_reRegistrations > 0 || gapUs > longestGapLimitUs;
+    const std::int64_t changeUs = wasEstablished ? m_lastChangeUs : m_startUs;
+    const std::int64_t standstillUs = std::max(m_longestStandstillUs, nowUs - changeUs);
+    const bool broken =
+            m_errors > 0 || m_reRegistrations > 0 || standstillUs > longestStandstillLimitUs;
     return { { "kind", "feed" },
              { "id", m_parameters.id },
              { "service", m_parameters.service },
@@ -169,6 +176,7 @@
              { "notifications", m_notifications },
              { "stale_notifications", m_staleNotifications },
              { "longest_gap_us", gapUs },
+             { "longest_standstill_us", standstillUs },
              { "registrations", m_registrations },
              { "re_registrations", m_reRegistrations },
              { "errors", m_errors },
--- a/standins/caller/feed.h
+++ b/standins/caller/feed.h
@@ -12,7 +12,10 @@
 };
 
 // One observed resource (RFC 7641). It counts as broken after an error answer, the end of the
-// observation, a long gap, or when it had to be registered again.
+// observation, a long time without a new state, or when it had to be registered again.
+//
+// All feeds observe the same resource with the same request, as the phones of vendors do; only
+// their endpoints and tokens differ.
 class feed final : public exchange
 {
 public:
@@ -48,7 +51,10 @@
     std::int64_t m_establishedUs = 0;
     std::int64_t m_lastContactUs = 0;
     std::int64_t m_nextRegistrationUs = 0;
-    std::int64_t m_longestGapUs = 0;
+    std::int64_t m_longestGapUs = 0; // between any two notifications
+    std::int64_t m_lastChangeUs = 0;
+    std::int64_t m_longestStandstillUs = 0; // between two different states
+    std::string m_lastState;
     std::uint32_t m_sequence = 0;
     std::uint64_t m_notifications = 0;
     std::uint64_t m_staleNotifications = 0;
--- a/standins/tests/caller_test.py
+++ b/standins/tests/caller_test.py
@@ -41,7 +41,7 @@
             queries = dict(value.decode().split("=", 1)
                            for number, value in options if number == QUERY)
             path = b"/".join(value for number, value in options if number == PATH).decode()
-            self.requests.append((path, queries["id"], echoes))
+            self.requests.append((path, queries.get("id"), echoes))
             if not echoes:
                 self.issued += 1
                 answer = encode(ACK, CHALLENGE, message_id, token,
