--- a/packages/core/include/oriolehold/core/types.h
+++ b/packages/core/include/oriolehold/core/types.h
@@ -65,7 +65,8 @@
     std::uint32_t address = 0;
     std::uint16_t port = 0;
 
-    auto operator<=>(const endpoint &) const = default;
+    // clang-tidy 14 takes the defaulted operator for a null pointer constant.
+    auto operator<=>(const endpoint &) const = default; // NOLINT(modernize-use-nullptr)
     bool isNull() const { return address == 0 && port == 0; }
 };
 
--- a/packages/random_run/include/oriolehold/random_run/caller_model.h
+++ b/packages/random_run/include/oriolehold/random_run/caller_model.h
@@ -40,7 +40,7 @@
     void send(core::byte_vector packet) { m_context.send(m_address, m_service, std::move(packet)); }
     // Sends a confirmable packet again with doubled intervals until stopRetransmission(); runs
     // onGiveUp after the last interval.
-    void sendReliably(core::byte_vector packet, std::function<void()> onGiveUp);
+    void sendReliably(const core::byte_vector &packet, const std::function<void()> &onGiveUp);
     void stopRetransmission() { ++m_transmission; }
     void acknowledge(const coap::message_view &message);
     // Remembers the Echo option of a response.
--- a/packages/random_run/include/oriolehold/random_run/virtual_network.h
+++ b/packages/random_run/include/oriolehold/random_run/virtual_network.h
@@ -81,7 +81,8 @@
     // receiver at the time of arrival; node_id::none means that nobody has the address, which runs
     // onUnreachable at the sender.
     void transmit(node_id from, const std::function<node_id()> &resolve,
-                  std::function<void()> onArrival, std::function<void()> onUnreachable = {});
+                  const std::function<void()> &onArrival,
+                  const std::function<void()> &onUnreachable = {});
     // Runs the task on the node now, or when it is resumed; never when it is dead.
     void runOn(node_id node, std::function<void()> task);
 
--- a/packages/random_run/src/caller_model.cpp
+++ b/packages/random_run/src/caller_model.cpp
@@ -62,7 +62,7 @@
     return token;
 }
 
-void caller::sendReliably(core::byte_vector packet, std::function<void()> onGiveUp)
+void caller::sendReliably(const core::byte_vector &packet, const std::function<void()> &onGiveUp)
 {
     stopRetransmission();
     retransmit(packet, m_transmission, 0, onGiveUp);
@@ -183,7 +183,7 @@
     core::byte_vector body(size);
     std::size_t position = 0;
     std::ranges::generate(body, [&] {
-        const auto character = static_cast<std::size_t>(id[position % id.size()]);
+        const auto character = static_cast<unsigned char>(id[position % id.size()]);
         return static_cast<std::uint8_t>(character + position++ / id.size());
     });
     return body;
--- a/packages/random_run/src/virtual_network.cpp
+++ b/packages/random_run/src/virtual_network.cpp
@@ -71,7 +71,8 @@
 }
 
 void virtual_network::transmit(node_id from, const std::function<node_id()> &resolve,
-                               std::function<void()> onArrival, std::function<void()> onUnreachable)
+                               const std::function<void()> &onArrival,
+                               const std::function<void()> &onUnreachable)
 {
     const core::duration delay = randomDelay(m_conditions.minDelay, m_conditions.maxDelay);
     if (m_random.unit() >= m_conditions.loss)
--- a/packages/random_run/src/world.h
+++ b/packages/random_run/src/world.h
@@ -136,7 +136,7 @@
     void publish();
     void applyLater(const core::configuration_pointer &configuration);
     void startTraffic();
-    void scheduleArrivals(double perSecond, std::function<void()> arrival);
+    void scheduleArrivals(double perSecond, const std::function<void()> &arrival);
     void addOrder();
     void addGuide();
     void addFeed();
