--- a/standins/platform/document_store.h
+++ b/standins/platform/document_store.h
@@ -1,22 +1,22 @@
 #pragma once
 
+#include <nlohmann/json.hpp>
+
 #include <chrono>
 #include <condition_variable>
 #include <cstdint>
 #include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <system_error>
+#include <utility>
 
 namespace standin {
 
-// A published text and its generation; no generation when the text is not a JSON document.
-struct published_text
-{
-    std::string text;
-    std::optional<std::uint64_t> generation;
-};
-
 // What a reader gets.
 struct read_answer
 {
@@ -24,47 +24,136 @@
     std::string text;
 };
 
-// The files of the stand-in, read again when they change.
+// A file that is read again when it changes.
+class watched_file
+{
+public:
+    explicit watched_file(std::filesystem::path path) : m_path(std::move(path)) { }
+
+    const std::string &text() const { return m_text; }
+    // Returns whether the file was read again or is gone.
+    bool refresh()
+    {
+        std::error_code error;
+        const auto written = std::filesystem::last_write_time(m_path, error);
+        if (error) {
+            m_written.reset();
+            return !std::exchange(m_text, {}).empty();
+        }
+        if (m_written == written)
+            return false;
+        std::ifstream stream(m_path, std::ios::binary);
+        m_text.assign(std::istreambuf_iterator<char>(stream), {});
+        m_written = written;
+        return true;
+    }
+
+private:
+    std::filesystem::path m_path;
+    std::optional<std::filesystem::file_time_type> m_written;
+    std::string m_text;
+};
+
+// The files of the stand-in and its fault mode.
 class document_store
 {
 public:
-    explicit document_store(const std::filesystem::path &directory);
+    explicit document_store(const std::filesystem::path &directory)
+        : m_configuration(directory / "configuration.json"),
+          m_old(directory / "configuration.old.json"), m_instances(directory / "instances.json"),
+          m_mode(directory / "mode")
+    {
+        refresh();
+    }
 
     // Reads files that changed and wakes the waiting readers. Call it often.
-    void refresh();
+    void refresh()
+    {
+        const std::lock_guard lock(m_mutex);
+        bool changed = m_old.refresh();
+        changed = m_mode.refresh() || changed;
+        // In mode stale the files are left unread, so that their changes show when the mode ends.
+        if (!isMode("stale") || m_configuration.text().empty()) {
+            changed = m_instances.refresh() || changed;
+            if (m_configuration.refresh()) {
+                m_generation = generationOf(m_configuration.text());
+                changed = true;
+            }
+        }
+        if (changed)
+            m_changed.notify_all();
+    }
+
     // Ends all waiting reads.
-    void stop();
+    void stop()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopped = true;
+        m_changed.notify_all();
+    }
 
     // Waits at most the given time for a generation above after.
-    read_answer configuration(std::uint64_t after, std::chrono::seconds wait);
-    read_answer instances();
-    std::uint64_t reads() const;
+    read_answer configuration(std::uint64_t after, std::chrono::seconds wait)
+    {
+        std::unique_lock lock(m_mutex);
+        ++m_reads;
+        std::optional<read_answer> answer;
+        m_changed.wait_for(lock, wait, [&] {
+            answer = answerNow(after);
+            return answer.has_value() || m_stopped;
+        });
+        return answer.value_or(read_answer { 304, {} });
+    }
 
-private:
-    enum class fault_mode : std::uint8_t { up, down, stale, corrupt, back };
+    read_answer instances()
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_reads;
+        if (isMode("down") || m_instances.text().empty())
+            return { 503, {} };
+        return { 200, m_instances.text() };
+    }
 
-    // A file with the state that it was read in.
-    struct watched_file
+    std::uint64_t reads() const
     {
-        std::filesystem::path path;
-        std::optional<std::filesystem::file_time_type> written;
-        std::uintmax_t size = 0;
-        std::string text;
+        const std::lock_guard lock(m_mutex);
+        return m_reads;
+    }
+
+private:
+    bool isMode(std::string_view name) const { return m_mode.text().starts_with(name); }
 
-        bool refresh();
-    };
+    // Nothing when the text is not a JSON document with a generation; such a text is always served.
+    static std::optional<std::uint64_t> generationOf(const std::string &text)
+    {
+        const auto json = nlohmann::json::parse(text, nullptr, false, true);
+        if (!json.is_object() || !json.contains("generation")
+            || !json["generation"].is_number_unsigned())
+            return std::nullopt;
+        return json["generation"].get<std::uint64_t>();
+    }
 
-    static published_text publish(const std::string &text);
-    std::optional<read_answer> answerNow(std::uint64_t after) const;
+    std::optional<read_answer> answerNow(std::uint64_t after) const
+    {
+        const std::string &text = m_configuration.text();
+        if (isMode("down") || text.empty())
+            return read_answer { 503, {} };
+        if (isMode("corrupt"))
+            return read_answer { 200, text.substr(0, text.size() / 2) };
+        if (isMode("back"))
+            return read_answer { 200, m_old.text() };
+        if (!m_generation || *m_generation > after)
+            return read_answer { 200, text };
+        return std::nullopt;
+    }
 
     mutable std::mutex m_mutex;
     std::condition_variable m_changed;
-    watched_file m_configurationFile;
-    watched_file m_oldFile;
-    watched_file m_instancesFile;
-    watched_file m_modeFile;
-    fault_mode m_mode = fault_mode::up;
-    published_text m_served; // what mode up and stale serve
+    watched_file m_configuration;
+    watched_file m_old;
+    watched_file m_instances;
+    watched_file m_mode;
+    std::optional<std::uint64_t> m_generation;
     bool m_stopped = false;
     std::uint64_t m_reads = 0;
 };
