--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -97,11 +97,9 @@
               and upstream.state == "live" and upstream not in joining][:2]
     slow = [upstream for upstream in system.upstreams
             if upstream.state == "live" and upstream not in second][-1]
-    system.note("agent %d paused" % slow.number)
-    slow.agent.pause()
+    system.pause_agent(slow)
     replace_upstreams(system, second, wait=False)
-    slow.agent.resume()
-    system.note("agent %d resumed" % slow.number)
+    system.resume_agent(slow)
     system.set_platform_mode("corrupt")
     system.leave_entry(paused, wait=False)
     time.sleep(1.0)
@@ -125,11 +123,9 @@
     """An agent is stopped for five seconds and goes on late."""
     upstream = system.upstreams[0]
     time.sleep(system.options.seconds / 4)
-    system.note("agent %d paused" % upstream.number)
-    upstream.agent.pause()
+    system.pause_agent(upstream)
     time.sleep(5.0)
-    upstream.agent.resume()
-    system.note("agent %d resumed" % upstream.number)
+    system.resume_agent(upstream)
 
 
 def killed_entry(system):
--- a/scripts/demo_report.py
+++ b/scripts/demo_report.py
@@ -36,7 +36,7 @@
 
 class JobLog:
     """What the upstreams ran. Each upstream needs: service, records, slots, strength, address,
-    serving_from_us, serving_until_us, agent_kills_us."""
+    serving_from_us, serving_until_us, agent_kills_us, agent_pauses_us."""
 
     def __init__(self, upstreams):
         self.upstreams = upstreams
@@ -106,10 +106,13 @@
     return False
 
 
-def guide_owner_was_killed(guide, log):
-    return any(guide["start_us"] <= kill_us <= guide["end_us"]
+def guide_owner_was_lost(guide, log):
+    """Whether an agent that served the download was killed or paused meanwhile. Entries move a
+    download away from an owner that does not answer, and it starts again there; a feed has to
+    survive a pause."""
+    return any(guide["start_us"] <= time_us <= guide["end_us"]
                for upstream in log.starts.get(guide["id"], ())
-               for kill_us in upstream.agent_kills_us)
+               for time_us in upstream.agent_kills_us + upstream.agent_pauses_us)
 
 
 def is_broken_guide(guide):
@@ -141,7 +144,7 @@
         broken_feeds = [feed for feed in self.feeds if is_broken_feed(feed)]
         broken_guides = [guide for guide in self.guides if is_broken_guide(guide)]
         owner_lost = [feed for feed in broken_feeds if owner_was_killed(feed, upstreams)]
-        owner_lost += [guide for guide in broken_guides if guide_owner_was_killed(guide, log)]
+        owner_lost += [guide for guide in broken_guides if guide_owner_was_lost(guide, log)]
         lost_ids = {record["id"] for record in owner_lost}
         self.owner_lost_flows = owner_lost
         self.broken_flows = [flow for flow in broken_feeds + broken_guides
--- a/scripts/demo_system.py
+++ b/scripts/demo_system.py
@@ -171,6 +171,7 @@
         self.address = self.envelope = self.admin = self.records = None
         self.server = self.agent = None
         self.agent_kills_us = []
+        self.agent_pauses_us = []
         # Time in which it takes its full share, for the imbalance.
         self.serving_from_us = self.serving_until_us = None
 
@@ -495,6 +496,15 @@
         upstream.agent_kills_us.append(upstream.agent.killed_us)
         upstream.end_serving()
 
+    def pause_agent(self, upstream):
+        self.note("agent %d (%s) paused" % (upstream.number, upstream.service))
+        upstream.agent_pauses_us.append(now_us())
+        upstream.agent.pause()
+
+    def resume_agent(self, upstream):
+        upstream.agent.resume()
+        self.note("agent %d resumed" % upstream.number)
+
     def kill_server(self, upstream):
         self.note("upstream %d (%s) killed" % (upstream.number, upstream.service))
         upstream.server.kill()
