Serve all feeds of one resource by one observation at the upstream

Ruled out: the killed entry instance and the handover; the same happens without either. Change: the agent observes each resource once and fans updates out; a feed that joins gets the present state.

--- a/packages/agent/src/upstream_client.cpp
+++ b/packages/agent/src/upstream_client.cpp
@@ -9,10 +9,13 @@
 
 #include <algorithm>
 #include <array>
+#include <map>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 
 namespace oriolehold::agent {
 
@@ -82,6 +85,16 @@
     coap_optlist_t *m_list = nullptr;
 };
 
+// One observation at the upstream that serves all feeds of the same resource. libcoap's server
+// keeps one observer per session and request, so a second observation would replace the first.
+struct observation
+{
+    std::string resource;
+    std::set<core::feed_id> feeds;
+    core::byte_vector state;
+    bool hasState = false;
+};
+
 } // namespace
 
 class upstream_client::implementation
@@ -147,23 +160,49 @@
 
     void startFeed(core::feed_id feed, const core::feed_state &state)
     {
-        option_list options;
-        options.add(COAP_OPTION_OBSERVE, "");
-        options.addPath(state.path);
-        for (const std::string &query : state.queries)
-            options.add(COAP_OPTION_URI_QUERY, query);
-        m_feeds.insert(core::toInteger(feed));
-        send(COAP_MESSAGE_CON, COAP_REQUEST_CODE_GET,
-             makeToken(token_kind::feed, core::toInteger(feed)), options, {});
+        const std::string resource = resourceKey(state);
+        const auto known = m_observationOf.find(resource);
+        if (known != m_observationOf.end()) {
+            observation &joined = m_observations.at(known->second);
+            joined.feeds.insert(feed);
+            m_feeds[feed] = known->second;
+            if (joined.hasState)
+                m_joined.push_back(feed);
+            return;
+        }
+        const std::uint64_t number = ++m_lastObservation;
+        m_observationOf[resource] = number;
+        m_observations[number] = { resource, { feed }, {}, false };
+        m_feeds[feed] = number;
+        observe(number, state);
     }
 
     void stopFeed(core::feed_id feed)
     {
-        if (m_feeds.erase(core::toInteger(feed)) == 0)
+        const auto found = m_feeds.find(feed);
+        if (found == m_feeds.end())
+            return;
+        const std::uint64_t number = found->second;
+        m_feeds.erase(found);
+        observation &left = m_observations.at(number);
+        left.feeds.erase(feed);
+        if (!left.feeds.empty())
             return;
-        token_bytes token = makeToken(token_kind::feed, core::toInteger(feed));
+        token_bytes token = makeToken(token_kind::feed, number);
         coap_binary_t binary { token.size(), token.data() };
         coap_cancel_observe(m_session, &binary, COAP_MESSAGE_NON);
+        forget(number);
+    }
+
+    // Gives feeds that joined an observation its present state; startFeed() must not call back into
+    // the core.
+    void reportJoined()
+    {
+        for (const core::feed_id feed : std::exchange(m_joined, {})) {
+            const auto found = m_feeds.find(feed);
+            if (found != m_feeds.end())
+                m_events.feedUpdated(feed, m_observations.at(found->second).state);
+        }
     }
 
     // Reports the jobs that libcoap did not accept; a report from startJob() would call back into
@@ -217,17 +256,57 @@
     coap_response_t handleFeed(const coap_pdu_t *received, std::uint64_t number,
                                core::byte_view payload)
     {
-        if (!m_feeds.contains(number))
+        const auto found = m_observations.find(number);
+        if (found == m_observations.end())
             return COAP_RESPONSE_FAIL; // the RST ends a forgotten observation
-        if (COAP_RESPONSE_CLASS(coap_pdu_get_code(received)) == 2) {
-            m_events.feedUpdated(core::feed_id { number }, payload);
+        if (COAP_RESPONSE_CLASS(coap_pdu_get_code(received)) != 2) {
+            endObservation(number);
             return COAP_RESPONSE_OK;
         }
-        m_feeds.erase(number);
-        m_events.feedEnded(core::feed_id { number });
+        found->second.state.assign(payload.begin(), payload.end());
+        found->second.hasState = true;
+        // A copy, because an update may stop a feed.
+        const std::set<core::feed_id> feeds = found->second.feeds;
+        for (const core::feed_id feed : feeds)
+            m_events.feedUpdated(feed, payload);
         return COAP_RESPONSE_OK;
     }
 
+    void endObservation(std::uint64_t number)
+    {
+        const std::set<core::feed_id> feeds = m_observations.at(number).feeds;
+        forget(number);
+        for (const core::feed_id feed : feeds) {
+            m_feeds.erase(feed);
+            m_events.feedEnded(feed);
+        }
+    }
+
+    void forget(std::uint64_t number)
+    {
+        m_observationOf.erase(m_observations.at(number).resource);
+        m_observations.erase(number);
+    }
+
+    static std::string resourceKey(const core::feed_state &state)
+    {
+        std::string key = state.path;
+        for (const std::string &query : state.queries)
+            key.append(1, '&').append(query);
+        return key;
+    }
+
+    void observe(std::uint64_t number, const core::feed_state &state)
+    {
+        option_list options;
+        options.add(COAP_OPTION_OBSERVE, "");
+        options.addPath(state.path);
+        for (const std::string &query : state.queries)
+            options.add(COAP_OPTION_URI_QUERY, query);
+        send(COAP_MESSAGE_CON, COAP_REQUEST_CODE_GET, makeToken(token_kind::feed, number), options,
+             {});
+    }
+
     static core::upstream_answer toAnswer(coap_pdu_code_t code, core::byte_view payload)
     {
         const auto status = code == COAP_RESPONSE_CODE_SERVICE_UNAVAILABLE
@@ -244,8 +323,8 @@
         if (token.s[0] == static_cast<std::uint8_t>(token_kind::job))
             complete(number, { core::upstream_status::failed, 0, {} });
         else if (token.s[0] == static_cast<std::uint8_t>(token_kind::feed)
-                 && m_feeds.erase(number) > 0)
-            m_events.feedEnded(core::feed_id { number });
+                 && m_observations.contains(number))
+            endObservation(number);
     }
 
     void complete(std::uint64_t number, const core::upstream_answer &answer)
@@ -272,7 +351,11 @@
     coap_context_t *m_context = nullptr;
     coap_session_t *m_session = nullptr;
     std::unordered_set<std::uint64_t> m_jobs;
-    std::unordered_set<std::uint64_t> m_feeds;
+    std::map<std::uint64_t, observation> m_observations;
+    std::unordered_map<std::string, std::uint64_t> m_observationOf; // by resource
+    std::map<core::feed_id, std::uint64_t> m_feeds;                 // observation of each feed
+    std::vector<core::feed_id> m_joined; // feeds that wait for the present state
+    std::uint64_t m_lastObservation = 0;
     std::vector<core::job_id> m_unsent;
     std::uint64_t m_controlNumber = 0;
     bool m_closing = false;
@@ -293,6 +376,7 @@
 {
     m_implementation->process();
     m_implementation->reportUnsent();
+    m_implementation->reportJoined();
 }
 
 void upstream_client::startJob(const core::upstream_request &request, core::duration remaining)
