--- /dev/null
+++ b/fuzz/tests/corpus_test.cpp
@@ -0,0 +1,85 @@
+#include "fuzz_targets.h"
+
+#include "oriolehold/core/invariant.h"
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <stdexcept>
+#include <vector>
+
+// Redefines new, so it comes after all other headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace oriolehold;
+
+namespace {
+
+std::vector<std::filesystem::path> corpusOf(std::string_view target)
+{
+    const std::filesystem::path folder =
+            std::filesystem::path(ORIOLEHOLD_SOURCE_DIR) / "fuzz/corpus" / target;
+    std::vector<std::filesystem::path> files;
+    for (const auto &entry : std::filesystem::directory_iterator(folder))
+        files.push_back(entry.path());
+    std::ranges::sort(files);
+    return files;
+}
+
+core::byte_vector readFile(const std::filesystem::path &file)
+{
+    std::ifstream stream(file, std::ios::binary);
+    return { std::istreambuf_iterator<char>(stream), {} };
+}
+
+} // namespace
+
+TEST_GROUP(corpus)
+{
+    void setup() override
+    {
+        m_handler = core::setInvariantHandler(&throwText);
+    }
+    void teardown() override
+    {
+        core::setInvariantHandler(m_handler);
+    }
+
+    static void throwText(std::string_view text, const char * /*file*/, int /*line*/)
+    {
+        throw std::runtime_error(std::string(text));
+    }
+
+    core::invariant_handler m_handler = nullptr;
+};
+
+// Guards against the return of decoder faults that an input of the corpus once showed, also where
+// no fuzzer is available.
+TEST(corpus, EveryInputKeepsTheDecodersProperties)
+{
+    for (const fuzz::fuzz_target &target : fuzz::fuzzTargets()) {
+        const auto files = corpusOf(target.name);
+        CHECK_FALSE(files.empty());
+        for (const std::filesystem::path &file : files) {
+            try {
+                target.run(readFile(file));
+            } catch (const std::exception &error) {
+                FAIL((file.string() + ": " + error.what()).c_str());
+            }
+        }
+    }
+}
+
+// Truncations reach the error paths that whole inputs do not.
+TEST(corpus, EveryTruncatedInputKeepsTheDecodersProperties)
+{
+    for (const fuzz::fuzz_target &target : fuzz::fuzzTargets())
+        for (const std::filesystem::path &file : corpusOf(target.name)) {
+            const core::byte_vector input = readFile(file);
+            for (std::size_t size = 0; size < input.size(); ++size)
+                // A copy of exact size lets the address sanitizer see any read past the end.
+                target.run(core::byte_vector(input.begin(),
+                                             input.begin() + static_cast<std::ptrdiff_t>(size)));
+        }
+}
--- /dev/null
+++ b/packages/agent/tests/clock_shift.cpp
@@ -0,0 +1,31 @@
+#include "clock_shift.h"
+
+#include <sys/syscall.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <ctime>
+
+namespace {
+
+std::atomic<std::time_t> shift { 0 }; // seconds
+
+} // namespace
+
+namespace oriolehold::agent::testing {
+
+void shiftClock(std::chrono::seconds step)
+{
+    shift += step.count();
+}
+
+} // namespace oriolehold::agent::testing
+
+// Takes the place of the C library's function for the whole process.
+extern "C" int clock_gettime(clockid_t clock, timespec *time) noexcept
+{
+    const long result = syscall(SYS_clock_gettime, clock, time);
+    if (result == 0)
+        time->tv_sec += shift.load();
+    return static_cast<int>(result);
+}
--- /dev/null
+++ b/packages/agent/tests/upstream_client_test.cpp
@@ -0,0 +1,178 @@
+#include "oriolehold/agent/upstream_client.h"
+
+#include "clock_shift.h"
+#include "oriolehold/coap/message.h"
+#include "upstream_server.h"
+
+#include <functional>
+#include <map>
+#include <thread>
+#include <vector>
+
+// Redefines new, so it comes after all other headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace oriolehold;
+using namespace oriolehold::agent;
+using namespace oriolehold::agent::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct recorded_events final : upstream_events
+{
+    void jobCompleted(core::job_id job, const core::upstream_answer &answer) override
+    {
+        answers[core::toInteger(job)].push_back(answer);
+    }
+    void feedUpdated(core::feed_id /*feed*/, core::byte_view payload) override
+    {
+        updates.emplace_back(coap::asText(payload));
+    }
+    void feedEnded(core::feed_id /*feed*/) override { ++ended; }
+
+    std::map<std::uint64_t, std::vector<core::upstream_answer>> answers;
+    std::vector<std::string> updates;
+    int ended = 0;
+};
+
+core::upstream_request makeRequest(core::request_method method, std::string path)
+{
+    core::upstream_request request;
+    request.job = core::job_id { 7 };
+    request.method = method;
+    request.path = std::move(path);
+    request.idempotent = method == core::request_method::get;
+    return request;
+}
+
+core::feed_state stockFeed()
+{
+    core::feed_state state;
+    state.path = "stock";
+    return state;
+}
+
+} // namespace
+
+TEST_GROUP(upstream_client)
+{
+    // Runs client and server until the condition holds, at most for the time.
+    bool runUntil(const std::function<bool()> &condition, std::chrono::milliseconds time = 2s)
+    {
+        for (auto passed = 0ms; passed < time && !condition(); passed += 1ms) {
+            client.process();
+            server.process();
+            std::this_thread::sleep_for(1ms);
+        }
+        return condition();
+    }
+
+    void runFor(std::chrono::milliseconds time)
+    {
+        runUntil([] { return false; }, time);
+    }
+
+    const core::endpoint address = probeFreeAddress();
+    recorded_events events;
+    upstream_server server { address };
+    upstream_client client { address, events };
+};
+
+// libcoap 4.3.1 cannot assemble a block-wise answer that follows the empty acknowledgement of a
+// confirmable request: the job would get only a part of the body.
+TEST(upstream_client, LargeBodyThatIsAnsweredLateArrivesWhole)
+{
+    client.startJob(makeRequest(core::request_method::get, "guides"), 1s);
+    CHECK_TRUE(runUntil([&] { return server.guideRequested(); }));
+    // The server's empty acknowledgement, if there is one, is on its way before the answer.
+    runFor(20ms);
+    server.answerGuide();
+
+    CHECK_TRUE(runUntil([&] { return !events.answers[7].empty(); }));
+    const core::upstream_answer &answer = events.answers[7].front();
+    CHECK_TRUE(answer.status == core::upstream_status::answered);
+    CHECK_EQUAL(upstream_server::bodySize, answer.payload.size());
+    CHECK_TRUE(coap::asText(answer.payload) == server.body());
+    LONGS_EQUAL(1, events.answers[7].size());
+}
+
+// A job that the upstream says it did not run must not look like an answer of the job.
+TEST(upstream_client, ServiceUnavailableIsShed)
+{
+    client.startJob(makeRequest(core::request_method::post, "orders"), 1s);
+
+    CHECK_TRUE(runUntil([&] { return !events.answers[7].empty(); }));
+    CHECK_TRUE(events.answers[7].front().status == core::upstream_status::shed);
+}
+
+// A forgotten observation would load the upstream and reach the core for a feed that it dropped.
+TEST(upstream_client, FeedUpdatesArriveUntilTheFeedIsStopped)
+{
+    client.startFeed(core::feed_id { 3 }, stockFeed());
+    CHECK_TRUE(runUntil([&] { return events.updates.size() == 1; }));
+    server.publish("state 1");
+    CHECK_TRUE(runUntil([&] { return events.updates.size() == 2; }));
+    CHECK_TRUE(events.updates.back() == "state 1");
+
+    const int before = server.feedRequests();
+    client.stopFeed(core::feed_id { 3 });
+    CHECK_TRUE(runUntil([&] { return server.feedRequests() > before; }));
+    const int afterCancellation = server.feedRequests();
+    server.publish("state 2");
+    runFor(50ms);
+
+    LONGS_EQUAL(afterCancellation, server.feedRequests());
+    LONGS_EQUAL(2, events.updates.size());
+    LONGS_EQUAL(0, events.ended);
+}
+
+TEST_GROUP(silent_upstream)
+{
+    // Runs the client and returns the datagrams that reach the upstream.
+    std::vector<core::byte_vector> receiveFor(std::chrono::milliseconds time)
+    {
+        std::vector<core::byte_vector> received;
+        for (auto passed = 0ms; passed < time; passed += 1ms) {
+            client.process();
+            for (const net::datagram &packet : upstream.receive())
+                received.emplace_back(packet.bytes.begin(), packet.bytes.end());
+            std::this_thread::sleep_for(1ms);
+        }
+        return received;
+    }
+
+    net::udp_socket upstream { { loopback, 0 } };
+    recorded_events events;
+    upstream_client client { upstream.local(), events };
+};
+
+// A retransmission to a paused upstream would run the order twice.
+TEST(silent_upstream, OrderIsSentExactlyOnce)
+{
+    client.startJob(makeRequest(core::request_method::post, "orders"), 10s);
+    std::vector<core::byte_vector> packets = receiveFor(50ms);
+    for (int second = 0; second < 5; ++second) {
+        shiftClock(1s);
+        for (core::byte_vector &packet : receiveFor(20ms))
+            packets.push_back(std::move(packet));
+    }
+
+    LONGS_EQUAL(1, packets.size());
+    const auto message = coap::message_view::parse(packets.front());
+    CHECK_TRUE(message && message->type() == coap::message_type::nonConfirmable);
+}
+
+// Shows that the shifted clock makes libcoap retransmit, without which the test above proves
+// nothing: the registration of a feed is confirmable.
+TEST(silent_upstream, FeedRegistrationIsRetransmitted)
+{
+    client.startFeed(core::feed_id { 3 }, stockFeed());
+    std::size_t packets = receiveFor(50ms).size();
+    for (int second = 0; second < 5; ++second) {
+        shiftClock(1s);
+        packets += receiveFor(20ms).size();
+    }
+
+    CHECK_TRUE(packets >= 2);
+}
--- /dev/null
+++ b/packages/entry/tests/traffic_worker_test.cpp
@@ -0,0 +1,293 @@
+#include "oriolehold/entry/traffic_worker.h"
+
+#include "oriolehold/coap/message.h"
+#include "oriolehold/core/flow_token.h"
+
+#include <functional>
+#include <thread>
+
+// Redefines new, so it comes after all other headers.
+#include <CppUTest/TestHarness.h>
+
+using namespace oriolehold;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr core::service_id orders { 1 };
+constexpr core::service_id catalog { 2 };
+constexpr core::upstream_id ordersUpstream { 1 };
+constexpr core::upstream_id catalogUpstream { 4 };
+constexpr core::endpoint anyPort { 0x7f000001, 0 };
+constexpr std::size_t ipHeaderSize = 28; // IPv4 and UDP
+
+// An address whose port was free a moment ago; the worker does not tell which ports it has bound.
+core::endpoint probeFreeAddress()
+{
+    return net::udp_socket(anyPort).local();
+}
+
+core::upstream makeUpstream(core::upstream_id id, core::service_id service,
+                            const core::endpoint &agent)
+{
+    core::upstream result;
+    result.id = id;
+    result.service = service;
+    result.index = static_cast<std::uint8_t>(core::toInteger(id));
+    result.zone = "a";
+    result.agent = agent;
+    return result;
+}
+
+coap::byte_vector request(coap::message_code code, std::string_view path, core::byte_view echo = {})
+{
+    coap::message_builder builder(coap::message_type::confirmable, code, 0x0102,
+                                  std::array<std::uint8_t, 4> { 1, 2, 3, 4 });
+    builder.option(coap::option_number::uriPath, path);
+    if (!echo.empty())
+        builder.option(coap::option_number::echo, echo);
+    return builder.toVector();
+}
+
+coap::byte_vector stockRequest(core::byte_view echo = {})
+{
+    return request(coap::message_code::get, "stock", echo);
+}
+
+bool eventually(const std::function<bool()> &condition)
+{
+    for (int i = 0; i < 2000 && !condition(); ++i)
+        std::this_thread::sleep_for(1ms);
+    return condition();
+}
+
+// The next datagram, empty when none comes within 2 s.
+core::byte_vector receiveFrom(net::udp_socket &socket)
+{
+    core::byte_vector bytes;
+    eventually([&] {
+        const auto received = socket.receive();
+        if (!received.empty())
+            bytes.assign(received.front().bytes.begin(), received.front().bytes.end());
+        return !received.empty();
+    });
+    return bytes;
+}
+
+} // namespace
+
+TEST_GROUP(entry_traffic_worker)
+{
+    void setup() override
+    {
+        worker.configure(std::make_shared<core::configuration>(content));
+        thread = std::thread([this] { worker.run(); });
+        CHECK_TRUE(eventually([&] { return worker.generation() == 1; }));
+    }
+
+    void teardown() override
+    {
+        worker.stop();
+        thread.join();
+    }
+
+    core::configuration_content makeContent() const
+    {
+        using enum core::request_method;
+        core::configuration_content result;
+        result.generation = 1;
+        result.keys = { { 1, { 1, 2, 3 } } };
+        result.signingKey = 1;
+        result.services = {
+            { orders,
+              "orders",
+              "manao",
+              { 0x7f000001, 5001 },
+              { { "stock", core::class_kind::feed, get, "stock", true, 1, 1000ms },
+                { "order", core::class_kind::request, post, "orders", false, 0, 1000ms } } },
+            { catalog,
+              "catalog",
+              "manao",
+              { 0x7f000001, 5002 },
+              { { "guide", core::class_kind::download, get, "guides", true, 2, 5000ms } } },
+        };
+        result.upstreams = { makeUpstream(ordersUpstream, orders, ordersAgent.local()),
+                             makeUpstream(catalogUpstream, catalog, catalogAgent.local()) };
+        return result;
+    }
+
+    platform::entry_settings makeSettings() const
+    {
+        platform::entry_settings result;
+        result.zone = "a";
+        result.envelopeAddress = probeFreeAddress();
+        result.listeners = { { orders, probeFreeAddress() }, { catalog, probeFreeAddress() } };
+        return result;
+    }
+
+    std::uint64_t counted(core::result_code code) const
+    {
+        return worker.counters().byCode[core::toInteger(code)].load();
+    }
+
+    void sendFrom(net::udp_socket & socket, const core::endpoint &peer, core::byte_view bytes)
+    {
+        socket.send(peer, bytes);
+        socket.flush();
+    }
+
+    void sendRequest(core::byte_view packet)
+    {
+        sendFrom(caller, settings.listeners.front().address, packet);
+    }
+
+    core::flow_token_bytes makeToken() const
+    {
+        const auto now = std::chrono::time_point<core::core_clock> {
+            std::chrono::duration_cast<core::duration>(
+                    std::chrono::system_clock::now().time_since_epoch())
+        };
+        return core::flow_token_codec(content).seal({ orders, ordersUpstream, ordersAgent.local(),
+                                                      core::incarnation { 9 },
+                                                      core::unixSeconds(now), 77 },
+                                                    caller.local().address);
+    }
+
+    core::byte_vector deliverEnvelope(core::upstream_id upstream, std::string_view payload) const
+    {
+        core::agent_report report;
+        report.upstream = upstream;
+        report.incarnation = core::incarnation { 9 };
+        return codec.encode(wire::deliver_message {
+                caller.local(), orders, report, { payload.begin(), payload.end() } });
+    }
+
+    // A request without Echo still gets a challenge: the process goes on.
+    void checkStillServing()
+    {
+        sendRequest(stockRequest());
+        const core::byte_vector reply = receiveFrom(caller);
+        const auto message = coap::message_view::parse(reply);
+        CHECK_TRUE(message && message->code() == coap::message_code::unauthorized);
+    }
+
+    // The next forwarded packet; probes are skipped.
+    std::optional<wire::forward_message> receiveForward(net::udp_socket & agent)
+    {
+        while (true) {
+            const core::byte_vector envelope = receiveFrom(agent);
+            if (envelope.empty())
+                return std::nullopt;
+            const auto message = codec.decode(envelope);
+            if (const auto *forward =
+                        message ? std::get_if<wire::forward_message>(&*message) : nullptr)
+                return *forward;
+        }
+    }
+
+    net::udp_socket caller { anyPort };
+    net::udp_socket ordersAgent { anyPort };
+    net::udp_socket catalogAgent { anyPort };
+    const core::configuration_content content = makeContent();
+    const wire::envelope_codec codec { content };
+    const platform::entry_settings settings = makeSettings();
+    entry::traffic_worker worker { settings };
+    std::thread thread;
+};
+
+// Guards against packets that stop the traffic thread or pass it uncounted (R14).
+TEST(entry_traffic_worker, InvalidPacketsAreCountedAndDropped)
+{
+    const core::byte_vector truncated { 0x44, 1, 0 };
+    const core::byte_vector badVersion { 0x80, 1, 0, 0 };
+    core::byte_vector oversized = stockRequest();
+    oversized.push_back(0xff);
+    oversized.resize(coap::maxMessageSize + 1, 1);
+    core::byte_vector longerThanTheBuffer = oversized;
+    longerThanTheBuffer.resize(net::udp_socket::maxReceiveSize, 1);
+    const core::byte_vector noise(200, 0xff);
+    for (const core::byte_vector &packet :
+         { truncated, badVersion, oversized, longerThanTheBuffer, noise })
+        sendRequest(packet);
+
+    CHECK_TRUE(eventually([&] { return counted(core::result_code::malformedMessage) == 5; }));
+    LONGS_EQUAL(0, worker.counters().forwarded.load());
+    checkStillServing();
+}
+
+// A forged token must never cause work at an agent.
+TEST(entry_traffic_worker, ForgedTokenIsNotForwarded)
+{
+    core::flow_token_bytes forged = makeToken();
+    forged.back() ^= 1;
+    sendRequest(request(coap::message_code::post, "orders", forged));
+    const core::byte_vector reply = receiveFrom(caller);
+
+    const auto message = coap::message_view::parse(reply);
+    CHECK_TRUE(message && message->code() == coap::message_code::gatewayTimeout);
+    LONGS_EQUAL(1, counted(core::result_code::tokenInvalid));
+    LONGS_EQUAL(0, worker.counters().forwarded.load());
+    checkStillServing();
+}
+
+// Guards against envelopes of strangers that reach a caller or stop the traffic thread.
+TEST(entry_traffic_worker, InvalidEnvelopesAreCountedAndDropped)
+{
+    core::configuration_content foreign = content;
+    foreign.keys.front().secret[0] ^= 1;
+    const core::byte_vector valid = deliverEnvelope(ordersUpstream, "answer");
+    core::byte_vector forged = valid;
+    forged.back() ^= 1;
+    const core::byte_vector truncated(valid.begin(), valid.end() - 1);
+    core::byte_vector oversized = valid;
+    oversized.resize(wire::maxDatagramSize, 0);
+    const core::byte_vector foreignKey = wire::envelope_codec(foreign).encode(
+            wire::deliver_message { caller.local(), orders, {}, { 1 } });
+    const core::byte_vector onlyForAgents = codec.encode(wire::probe_message { 1 });
+    for (const core::byte_vector &envelope :
+         { forged, truncated, oversized, foreignKey, onlyForAgents, core::byte_vector(3, 1) })
+        sendFrom(ordersAgent, settings.envelopeAddress, envelope);
+
+    CHECK_TRUE(eventually([&] { return counted(core::result_code::badEnvelope) == 6; }));
+    LONGS_EQUAL(0, worker.counters().delivered.load());
+    checkStillServing();
+}
+
+// A larger answer would let an attacker with a false address amplify its traffic (R14).
+TEST(entry_traffic_worker, ChallengeIsAtMostThreeTimesTheRequest)
+{
+    const core::byte_vector packet = stockRequest();
+    sendRequest(packet);
+    const core::byte_vector reply = receiveFrom(caller);
+
+    const auto message = coap::message_view::parse(reply);
+    CHECK_TRUE(message && message->code() == coap::message_code::unauthorized);
+    CHECK_TRUE(message->option(coap::option_number::echo)->size() == core::flowTokenSize);
+    CHECK_TRUE(reply.size() + ipHeaderSize <= 3 * (packet.size() + ipHeaderSize));
+}
+
+// A changed packet or a wrong owner would break the flow.
+TEST(entry_traffic_worker, ValidTokenIsForwardedToTheAgentInTheToken)
+{
+    const core::byte_vector packet = stockRequest(makeToken());
+    sendRequest(packet);
+    const auto forward = receiveForward(ordersAgent);
+
+    CHECK_TRUE(forward.has_value());
+    CHECK_TRUE(forward->caller == caller.local());
+    CHECK_TRUE(forward->service == orders);
+    CHECK_TRUE(forward->generation == 1);
+    CHECK_TRUE(forward->packet == packet);
+    LONGS_EQUAL(1, worker.counters().forwarded.load());
+}
+
+// Callers of one service must never see packets of another one (R2).
+TEST(entry_traffic_worker, EnvelopeOfAnAgentOfAnotherServiceIsNotDelivered)
+{
+    sendFrom(catalogAgent, settings.envelopeAddress, deliverEnvelope(catalogUpstream, "wrong"));
+    CHECK_TRUE(eventually([&] { return counted(core::result_code::wrongService) == 1; }));
+    sendFrom(ordersAgent, settings.envelopeAddress, deliverEnvelope(ordersUpstream, "right"));
+
+    CHECK_TRUE(coap::asText(receiveFrom(caller)) == "right");
+    LONGS_EQUAL(1, worker.counters().delivered.load());
+}
