Test that all feeds of a resource get updates; read the version without a pipe

Cause: the installation check failed at times, because grep -q closed the pipe and pipefail took the broken pipe of the program as a failure. Ruled out: the option itself, which prints the version with status 0. The new test covers the shared observation. Conclusion: the check is as strict as before and gives one verdict.

--- a/packages/agent/tests/upstream_client_test.cpp
+++ b/packages/agent/tests/upstream_client_test.cpp
@@ -127,6 +127,22 @@
     LONGS_EQUAL(0, events.ended);
 }
 
+// libcoap's server keeps one observer per session and request: with an observation per feed, only the
+// newest feed of a resource would get updates.
+TEST(upstream_client, AllFeedsOfOneResourceGetEachUpdate)
+{
+    client.startFeed(core::feed_id { 3 }, stockFeed());
+    CHECK_TRUE(runUntil([&] { return events.updates.size() == 1; }));
+    client.startFeed(core::feed_id { 4 }, stockFeed());
+    CHECK_TRUE(runUntil([&] { return events.updates.size() == 2; }));
+
+    server.publish("state 1");
+
+    CHECK_TRUE(runUntil([&] { return events.updates.size() == 4; }));
+    CHECK_TRUE(events.updates[2] == "state 1");
+    CHECK_TRUE(events.updates[3] == "state 1");
+}
+
 TEST_GROUP(silent_upstream)
 {
     // Runs the client and returns the datagrams that reach the upstream.
--- a/scripts/check_install.sh
+++ b/scripts/check_install.sh
@@ -16,7 +16,9 @@
 documentation="$prefix/share/doc/oriolehold"
 for daemon in entry agent; do
     program="$prefix/bin/oriolehold-$daemon"
-    "$program" --version | grep -q 'version: [0-9]' || fail "$daemon: --version prints no version"
+    # Captured first: grep -q may close the pipe before the program has written everything.
+    version=$("$program" --version)
+    [[ $version == *"version: "[0-9]* ]] || fail "$daemon: --version prints no version"
     for deployment in manao association; do
         settings="$documentation/examples/$deployment/$daemon.json"
         "$program" --config "$settings" --check >/dev/null || fail "$settings is not valid"
