--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -250,6 +250,7 @@
     print("answered within the deadline: %.2f%% of the orders" % (100 * evaluation.in_time_share()))
     print("p99 of orders per fifth of the load, ms: %s"
           % ", ".join("%.0f" % value for value in evaluation.p99_course_ms()))
+    print("started after the deadline: %d orders" % len(evaluation.started_late()))
     print("refused by upstreams: %d jobs" % evaluation.log.sheds)
     for service, values in evaluation.imbalances().items():
         print("imbalance of %s: median %.3f, p99 %.3f over %d windows"
--- a/scripts/demo_report.py
+++ b/scripts/demo_report.py
@@ -7,6 +7,8 @@
 # Windows in which a service uses less of its capacity hold too few jobs to divide them evenly.
 LEAST_UTILIZATION = 0.1
 WINDOW_US = 1_000_000
+# A deadline is a remaining time that starts again when the request with the Echo arrives.
+LATE_START_US = 100_000
 # A run in which more of the requests than this share failed shows too little, even without a
 # single wrong answer.
 MOST_FAILED = 0.5
@@ -41,6 +43,7 @@
     def __init__(self, upstreams):
         self.upstreams = upstreams
         self.starts = collections.defaultdict(list)  # upstreams by id of the request
+        self.first_start_us = {}  # by id of the request
         self.intervals = []  # (upstream, start, end, work at strength 1)
         self.sheds = 0
         for upstream in upstreams:
@@ -52,6 +55,7 @@
             key = record["id"]
             if record["event"] == "start":
                 self.starts[key].append(upstream)
+                self.first_start_us.setdefault(key, record["time_us"])
                 running[key] = record
             elif record["event"] == "shed":
                 self.sheds += 1
@@ -182,6 +186,12 @@
                    and order["end_us"] <= order["deadline_us"]]
         return len(in_time) / len(answered) if answered else 1.0
 
+    def started_late(self):
+        """Orders that an upstream started after their deadline."""
+        starts = self.log.first_start_us
+        return [order for order in self.orders
+                if starts.get(order["id"], 0) > order["deadline_us"] + LATE_START_US]
+
     def imbalances(self):
         services = sorted({upstream.service for upstream in self.log.upstreams})
         return {service: self.log.imbalances(service, self.start_us, self.end_us)
