--- a/scripts/measure_start.py
+++ b/scripts/measure_start.py
@@ -1,6 +1,6 @@
 #!/usr/bin/env python3
-"""Measures start to ready and resident memory of both daemons: with the example documents and with
-a document of the goal size. Usage: scripts/measure_start.py [--programs BUILD_DIR] [--runs N]"""
+"""Measures start to ready and resident memory of both daemons, at rest and after configuration
+updates: with the example documents and with a document of the goal size. Usage: scripts/measure_start.py [--programs BUILD_DIR] [--runs N]"""
 
 import argparse
 import json
@@ -17,6 +17,7 @@
 UPSTREAMS, SERVICES, ENTRIES = 3600, 540, 620
 READY_TIMEOUT = 20.0  # seconds
 SETTLE_TIME = 1.0  # seconds between ready and the reading of the memory
+UPDATES = 5  # generations that are published after ready
 EXAMPLES = os.path.join(os.path.dirname(__file__), "..", "examples")
 
 
@@ -73,8 +74,7 @@
 
 def measure(programs, role, document, runs):
     with tempfile.TemporaryDirectory() as folder:
-        with open(os.path.join(folder, "configuration.json"), "w", encoding="utf-8") as file:
-            json.dump(document, file, separators=(",", ":"))
+        publish(folder, document)
         ports = Ports(1)
         platform_address = ports.address()
         platform = Process("platform", [os.path.join(programs, "standins/standin-platform"),
@@ -88,6 +88,27 @@
             platform.kill()
 
 
+def publish(folder, document):
+    """Replaces the document as a whole, so that no reader sees a part of it."""
+    name = os.path.join(folder, "configuration.json")
+    with open(name + ".new", "w", encoding="utf-8") as file:
+        json.dump(document, file, separators=(",", ":"))
+    os.rename(name + ".new", name)
+
+
+def update(folder, document, admin):
+    """Publishes the next generation and waits until it is in effect."""
+    document["generation"] += 1
+    publish(folder, document)
+    end = time.monotonic() + READY_TIMEOUT
+    while time.monotonic() < end:
+        with urllib.request.urlopen("http://%s/state" % admin, timeout=2) as answer:
+            if json.load(answer)["generation"] == document["generation"]:
+                return
+        time.sleep(0.01)
+    raise SystemExit("generation %d did not take effect" % document["generation"])
+
+
 def wait_until_listening(address):
     end = time.monotonic() + READY_TIMEOUT
     while time.monotonic() < end:
@@ -109,8 +130,12 @@
     try:
         ready = wait_until_ready(process, settings["admin"])
         time.sleep(SETTLE_TIME)
-        return (ready, memory_kib(process.pid, "VmRSS"), memory_kib(process.pid, "VmHWM"),
-                memory_kib(process.pid, "RssAnon"))
+        resident = memory_kib(process.pid, "VmRSS")
+        for _ in range(UPDATES):
+            update(folder, document, settings["admin"])
+        time.sleep(SETTLE_TIME)
+        return (ready, resident, memory_kib(process.pid, "VmRSS"),
+                memory_kib(process.pid, "VmHWM"))
     finally:
         process.kill()
 
@@ -131,7 +156,7 @@
             text = ["%s %.1f %s (%.1f)" % (label, statistics.median(values) * scale, unit,
                                            max(values) * scale)
                     for label, values, scale, unit in zip(
-                        ("ready", "resident", "peak", "anonymous"), columns,
+                        ("ready", "resident", "after %d updates" % UPDATES, "peak"), columns,
                         (1e3, 1 / 1024, 1 / 1024, 1 / 1024), ("ms", "MiB", "MiB", "MiB"))]
             print("%s (%d bytes) %s: %s" % (name, size, role, "; ".join(text)), flush=True)
 
