Move requests that wait behind stragglers to other upstreams

Running jobs are not preempted, so a request that waits while every slot holds a straggler can only be helped by another upstream. The agent refuses its ticket for good and answers 4.01 with one recorded token. The flags of the flow token count the moves, two at most. Requests that would be refused with queue-full or deadline-unreachable are moved within a budget.

A refusal that carries a token keeps its ledger record: when the refusal watermark replaced it, or a full ledger did not store it, a copy was answered "not run" although the request could run elsewhere.

--- a/packages/core/include/oriolehold/core/agent_core.h
+++ b/packages/core/include/oriolehold/core/agent_core.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "oriolehold/core/agent_admission.h"
+#include "oriolehold/core/admission_policy.h"
 #include "oriolehold/core/agent_report.h"
 #include "oriolehold/core/configuration.h"
 #include "oriolehold/core/result_code.h"
@@ -104,10 +104,10 @@
 class agent_core
 {
 public:
-    // The references must outlive the core. Without an admission policy, deadline_admission is
-    // used.
+    // The references must outlive the core. Without an admission policy,
+    // deadline_admission_policy is used with maxQueued.
     agent_core(agent_core_options options, agent_actions &actions, slot_scheduler &scheduler,
-               random_source &random, admission_policy *admission = nullptr);
+               random_source &random, const admission_policy *admission = nullptr);
     ~agent_core();
 
     // Puts a configuration into effect; one with a lower or equal generation is ignored.
--- a/packages/core/include/oriolehold/core/flow_token.h
+++ b/packages/core/include/oriolehold/core/flow_token.h
@@ -18,12 +18,15 @@
     core::incarnation incarnation = core::incarnation::unknown; // unknown: not bound
     std::uint32_t issuedAt = 0;                                 // Unix seconds
     ticket_number ticket = 0;                                   // below 2^48
+    // How often agents have moved the request to another upstream because of load.
+    std::uint8_t hops = 0; // up to maxFlowHops
 
     bool isBound() const { return incarnation != core::incarnation::unknown; }
     bool operator==(const flow_token &) const = default;
 };
 
 inline constexpr std::size_t flowTokenSize = 34;
+inline constexpr std::uint8_t maxFlowHops = 2;
 using flow_token_bytes = std::array<std::uint8_t, flowTokenSize>;
 
 enum class token_status : std::uint8_t {
--- a/packages/core/src/agent_core.cpp
+++ b/packages/core/src/agent_core.cpp
@@ -8,7 +8,7 @@
 
 agent_core::agent_core(agent_core_options options, agent_actions &actions,
                        slot_scheduler &scheduler, random_source &random,
-                       admission_policy *admission)
+                       const admission_policy *admission)
     : m_implementation(
             std::make_unique<implementation>(options, actions, scheduler, random, admission))
 { }
--- a/packages/core/src/agent_implementation.cpp
+++ b/packages/core/src/agent_implementation.cpp
@@ -10,11 +10,17 @@
 internal::job_service_options jobOptions(const agent_core_options &options)
 {
     internal::job_service_options result;
-    result.maxQueued = options.maxQueued;
     result.ledger.maxTickets = options.maxLedger;
     return result;
 }
 
+deadline_admission_options admissionOptions(const agent_core_options &options)
+{
+    deadline_admission_options result;
+    result.maxQueued = options.maxQueued;
+    return result;
+}
+
 template<typename Integer>
 Integer saturated(std::size_t value)
 {
@@ -25,8 +31,8 @@
 
 agent_core::implementation::implementation(agent_core_options options, agent_actions &actions,
                                            slot_scheduler &scheduler, random_source &random,
-                                           admission_policy *admission)
-    : m_options(options), m_actions(actions),
+                                           const admission_policy *admission)
+    : m_options(options), m_actions(actions), m_defaultAdmission(admissionOptions(m_options)),
       m_issuer(m_options.upstream, m_options.incarnation, random),
       m_channel(actions, random, m_options.entrySilence), m_responder(m_channel, m_issuer),
       m_jobs(jobOptions(m_options), actions, scheduler,
@@ -146,7 +152,7 @@
     result.slots = m_self->slots;
     result.connections = saturated<std::uint32_t>(connections());
     result.meanServiceTime = m_jobs.estimator().mean();
-    result.expectedWait = jobs.expectedWait(0, result.meanServiceTime, now);
+    result.expectedWait = jobs.expectedWait(0, result.meanServiceTime, result.meanServiceTime, now);
 
     return result;
 }
--- a/packages/core/src/agent_receive.cpp
+++ b/packages/core/src/agent_receive.cpp
@@ -155,6 +155,7 @@
     context.payload = message.payload();
     context.binding = m_issuer.bindingOf(token);
     context.ticket = { token.issuedAt, token.ticket };
+    context.hops = token.hops;
     if (context.request.block2 && context.request.block2->number > 0)
         m_jobs.readBlock(context, packet.now);
     else if (context.requestClass->idempotent)
@@ -198,7 +199,7 @@
         m_responder.reject(context.exchange, result_code::ownerRestarted, now);
         return;
     case token_binding::unbound:
-        if (!m_responder.challenge(context.exchange, now))
+        if (!m_responder.challenge(context.exchange, now, context.hops))
             m_responder.reject(context.exchange, result_code::draining, now);
         return;
     }
--- a/packages/core/src/flow_issuer.cpp
+++ b/packages/core/src/flow_issuer.cpp
@@ -36,12 +36,13 @@
     return token.incarnation == m_incarnation ? token_binding::current : token_binding::former;
 }
 
-flow_token_bytes flow_issuer::issue(const endpoint &caller, time_point now)
+flow_token_bytes flow_issuer::issue(const endpoint &caller, time_point now, std::uint8_t hops)
 {
-    return seal(*m_self, m_incarnation, caller, now);
+    return seal(*m_self, m_incarnation, caller, now, hops);
 }
 
-std::optional<flow_token_bytes> flow_issuer::issueElsewhere(const endpoint &caller, time_point now)
+std::optional<flow_token_bytes> flow_issuer::issueElsewhere(const endpoint &caller, time_point now,
+                                                            std::uint8_t hops)
 {
     const std::vector<const upstream *> others = otherLiveUpstreams(*m_configuration, *m_self);
     if (others.empty())
@@ -55,7 +56,7 @@
         return rest < 0.0;
     });
     const upstream &target = chosen == others.end() ? *others.back() : **chosen;
-    return seal(target, incarnation::unknown, caller, now);
+    return seal(target, incarnation::unknown, caller, now, hops);
 }
 
 std::optional<flow_token_bytes> flow_issuer::issueFor(upstream_id target, const endpoint &caller,
@@ -64,11 +65,11 @@
     const upstream *found = m_configuration->findUpstream(target);
     if (found == nullptr || found->service != m_self->service)
         return std::nullopt;
-    return seal(*found, incarnation::unknown, caller, now);
+    return seal(*found, incarnation::unknown, caller, now, 0);
 }
 
 flow_token_bytes flow_issuer::seal(const upstream &target, incarnation bound,
-                                   const endpoint &caller, time_point now)
+                                   const endpoint &caller, time_point now, std::uint8_t hops)
 {
     flow_token token;
     token.service = target.service;
@@ -77,6 +78,7 @@
     token.incarnation = bound;
     token.issuedAt = unixSeconds(now);
     token.ticket = m_random.next() & ticketMask;
+    token.hops = hops;
     return m_codec->seal(token, caller.address);
 }
 
--- a/packages/core/src/flow_token.cpp
+++ b/packages/core/src/flow_token.cpp
@@ -1,5 +1,7 @@
 #include "oriolehold/core/flow_token.h"
 
+#include "oriolehold/core/invariant.h"
+
 #include <sodium.h>
 
 #include <algorithm>
@@ -10,6 +12,8 @@
 
 constexpr std::uint8_t version = 1;
 constexpr std::uint8_t boundFlag = 1;
+constexpr unsigned hopsShift = 1;
+constexpr std::uint8_t hopsMask = 3;
 constexpr std::size_t macSize = crypto_shorthash_BYTES;
 constexpr std::size_t bodySize = flowTokenSize - macSize;
 constexpr std::size_t addressSize = 4;
@@ -69,6 +73,7 @@
 {
     byte_reader reader(body.subspan(2)); // behind version, flags and key id
     flow_token token;
+    token.hops = body[0] >> hopsShift & hopsMask;
     token.service = static_cast<service_id>(reader.get<std::uint16_t>());
     token.upstream = static_cast<upstream_id>(reader.get<std::uint16_t>());
     token.agent.address = reader.get<std::uint32_t>();
@@ -79,10 +84,16 @@
     return token;
 }
 
-// Whether the flag agrees with the incarnation. A token that violates this was not made by seal().
+std::uint8_t headerOf(const flow_token &token)
+{
+    return static_cast<std::uint8_t>(version << 4 | token.hops << hopsShift
+                                     | (token.isBound() ? boundFlag : 0));
+}
+
+// Whether the flags agree with the fields. A token that violates this was not made by seal().
 bool hasConsistentFlags(std::uint8_t header, const flow_token &token)
 {
-    return (header & 0x0f) == (token.isBound() ? boundFlag : 0);
+    return token.hops <= maxFlowHops && header == headerOf(token);
 }
 
 } // namespace
@@ -99,12 +110,13 @@
 
 flow_token_bytes flow_token_codec::seal(const flow_token &token, std::uint32_t callerAddress) const
 {
+    ORIOLEHOLD_INVARIANT(token.hops <= maxFlowHops, "a request is moved at most twice");
     flow_token_bytes bytes {};
     const token_key *key = findKey(m_signingKey);
     if (key == nullptr)
         return bytes; // version 0, which no process accepts
     byte_writer writer(bytes);
-    writer.put(version << 4 | (token.isBound() ? boundFlag : 0), 1);
+    writer.put(headerOf(token), 1);
     writer.put(m_signingKey, 1);
     writer.put(toInteger(token.service), 2);
     writer.put(toInteger(token.upstream), 2);
--- a/packages/core/src/internal/agent_implementation.h
+++ b/packages/core/src/internal/agent_implementation.h
@@ -16,7 +16,7 @@
 {
 public:
     implementation(agent_core_options options, agent_actions &actions, slot_scheduler &scheduler,
-                   random_source &random, admission_policy *admission);
+                   random_source &random, const admission_policy *admission);
 
     bool configure(configuration_pointer configuration, time_point now);
     void observeEntry(const endpoint &entry, time_point now);
@@ -58,7 +58,7 @@
 
     agent_core_options m_options;
     agent_actions &m_actions;
-    deadline_admission m_defaultAdmission;
+    deadline_admission_policy m_defaultAdmission;
     internal::flow_issuer m_issuer;
     internal::caller_channel m_channel;
     internal::responder m_responder;
--- a/packages/core/src/internal/flow_issuer.h
+++ b/packages/core/src/internal/flow_issuer.h
@@ -30,17 +30,19 @@
     token_result open(byte_view bytes, const endpoint &caller, time_point now) const;
     token_binding bindingOf(const flow_token &token) const;
 
-    // A token for this agent with a new ticket, bound to this incarnation.
-    flow_token_bytes issue(const endpoint &caller, time_point now);
+    // A token for this agent with a new ticket, bound to this incarnation. hops is the number of
+    // times that the request was moved because of load.
+    flow_token_bytes issue(const endpoint &caller, time_point now, std::uint8_t hops = 0);
     // An unbound token for another live upstream of the service, chosen at random with weight
     // slots * strength. Empty when there is none.
-    std::optional<flow_token_bytes> issueElsewhere(const endpoint &caller, time_point now);
+    std::optional<flow_token_bytes> issueElsewhere(const endpoint &caller, time_point now,
+                                                   std::uint8_t hops = 0);
     std::optional<flow_token_bytes> issueFor(upstream_id target, const endpoint &caller,
                                              time_point now);
 
 private:
     flow_token_bytes seal(const upstream &target, incarnation bound, const endpoint &caller,
-                          time_point now);
+                          time_point now, std::uint8_t hops);
 
     upstream_id m_selfId;
     incarnation m_incarnation;
--- a/packages/core/src/internal/job_service.h
+++ b/packages/core/src/internal/job_service.h
@@ -5,7 +5,8 @@
 #include "internal/job_table.h"
 #include "internal/request_ledger.h"
 #include "internal/responder.h"
-#include "oriolehold/core/agent_admission.h"
+#include "oriolehold/core/admission_policy.h"
+#include "oriolehold/core/retry_budget.h"
 #include "oriolehold/core/service_time_estimator.h"
 
 // Runs requests on the upstream's slots and answers their callers.
@@ -22,12 +23,21 @@
     byte_view payload;
     token_binding binding = token_binding::unbound;
     ticket_key ticket;
+    std::uint8_t hops = 0; // times that the request was moved because of load
 };
 
 struct job_service_options
 {
-    std::size_t maxQueued = 256;
     request_ledger_options ledger;
+    // A slot whose job has run this many times its prediction counts as blocked by a straggler.
+    duration::rep overdueFactor = 3;
+    // While all slots are blocked, a job that has waited longer than the larger of these is moved
+    // to another upstream.
+    duration::rep moveAfterServices = 2; // times the mean service time
+    duration moveAfter = std::chrono::milliseconds { 5 };
+    // Limits the requests that are moved instead of refused: in an overload of the whole service,
+    // other upstreams refuse them as well.
+    retry_budget_options moveBudget;
 };
 
 class job_service
@@ -35,7 +45,7 @@
 public:
     // The references must outlive the service.
     job_service(job_service_options options, agent_actions &actions, slot_scheduler &scheduler,
-                admission_policy &admission, caller_channel &channel, responder &responder,
+                const admission_policy &admission, caller_channel &channel, responder &responder,
                 body_store &bodies);
 
     void configure(const upstream &self, std::chrono::seconds ticketLifetime);
@@ -64,15 +74,24 @@
 
 private:
     agent_job makeJob(const request_context &context, time_point now);
-    std::optional<result_code> refusal(const agent_job &job, time_point now);
+    std::optional<result_code> refusal(const agent_job &job, time_point now) const;
+    duration expectedWait(std::uint8_t priority, duration expectedService, time_point now) const;
+    // Whether a job that is refused with this code is moved to another upstream instead.
+    bool movesInstead(const agent_job &job, result_code code, time_point now);
     bool joinDownload(const request_context &context, const request_digest &bodyDigest);
-    // Refuses a fresh ticket and names another upstream; false when none is live.
-    bool redirectOnce(const request_context &context, const request_digest &digest, time_point now);
+    // Refuses a fresh ticket and names another upstream; false when none is live or the ledger is
+    // full.
+    bool redirectOnce(const request_context &context, const request_digest &digest,
+                      result_code code, std::uint8_t hops, time_point now);
     void answerKnownTicket(const request_context &context, const ticket_record &record,
                            time_point now);
 
     void dispatch(time_point now);
     void start(agent_job &job, time_point now);
+    // Moves jobs that wait behind stragglers to other upstreams.
+    void moveBlocked(time_point now);
+    // Refuses a queued job and names another upstream; false when none is live.
+    bool move(agent_job &job, time_point now);
     void refuseQueued(agent_job &job, result_code code, time_point now);
     void finishJob(agent_job &job, const upstream_answer &answer, time_point now);
     void expireJob(agent_job &job, time_point now);
@@ -87,13 +106,15 @@
 
     job_service_options m_options;
     agent_actions &m_actions;
-    admission_policy &m_admission;
+    const admission_policy &m_admission;
     caller_channel &m_channel;
     responder &m_responder;
     body_store &m_bodies;
     job_table m_jobs;
     request_ledger m_ledger;
     service_time_estimator m_estimator;
+    retry_budget m_moveBudget;
+    time_point m_nextMove = never;     // when a waiting job may have to be moved
     time_point m_nextDispatch = never; // when the scheduler keeps a slot free for a waiting job
 };
 
--- a/packages/core/src/internal/job_table.h
+++ b/packages/core/src/internal/job_table.h
@@ -5,6 +5,7 @@
 #include "internal/timer_index.h"
 #include "oriolehold/core/agent_core.h"
 
+#include <set>
 #include <unordered_map>
 
 // Jobs that wait for a slot or hold one.
@@ -27,6 +28,9 @@
 struct agent_job
 {
     upstream_request request;
+    endpoint caller;
+    std::uint8_t hops = 0;  // times that the request was moved because of load
+    bool isMovable = false; // may be moved to another upstream while it waits
     std::string className;
     std::uint8_t priority = 0;
     bool isDownload = false;
@@ -35,7 +39,7 @@
     std::vector<job_waiter> waiters;
     time_point arrival;
     time_point started;
-    duration expectedService {};
+    duration expectedService {}; // 0 when unknown
     job_state state = job_state::queued;
 };
 
@@ -51,7 +55,7 @@
     // Enqueues a job; its request holds the number and the deadline.
     void enqueue(agent_job job);
     // Takes the next job for a free slot. The caller starts or releases it.
-    agent_job *takeNext(time_point now);
+    agent_job *takeNext(duration mean, time_point now);
     // nullptr when the job has ended.
     agent_job *find(job_id id);
     // Ends a job: removes it from the queue or frees its slot.
@@ -62,7 +66,14 @@
     std::size_t slots() const { return m_slots; }
     std::size_t size() const { return m_jobs.size(); }
     std::size_t downloads() const { return m_downloads; }
-    duration expectedWait(std::uint8_t priority, duration expectedService, time_point now) const;
+    // mean is the running mean of the service times, 0 when unknown.
+    duration expectedWait(std::uint8_t priority, duration expectedService, duration mean,
+                          time_point now) const;
+    // The time from which every slot holds a job that has run this many times its prediction.
+    // Never while a slot is free or nothing is known about a running job.
+    time_point blockedFrom(duration::rep factor, duration mean) const;
+    // The job that waits longest of those that may be moved, nullptr when there is none.
+    agent_job *oldestMovable();
 
     timer_index<std::uint64_t> &timers() { return m_timers; }
     const timer_index<std::uint64_t> &timers() const { return m_timers; }
@@ -76,13 +87,14 @@
     }
 
 private:
-    std::vector<duration> runningTotals(time_point now) const;
+    std::vector<duration> runningTotals(duration mean, time_point now) const;
 
     slot_scheduler &m_scheduler;
     std::size_t m_slots = 0;
     std::uint64_t m_lastId = 0;
     std::unordered_map<std::uint64_t, agent_job> m_jobs;
     std::vector<job_id> m_running;
+    std::set<job_id> m_movable; // queued; job numbers increase with the arrival
     std::size_t m_downloads = 0;
     timer_index<std::uint64_t> m_timers; // deadline, later the end of the hold of the slot
 };
--- a/packages/core/src/internal/request_ledger.h
+++ b/packages/core/src/internal/request_ledger.h
@@ -89,16 +89,19 @@
 
     ticket_lookup lookup(const ticket_key &key, const request_digest &digest) const;
 
-    // Each expects a fresh ticket. queue() returns false when the ledger is full; the ticket is
-    // then refused for ever.
+    // Each expects a fresh ticket and returns false when the ledger is full; the ticket is then
+    // refused for ever, without a record. A refusal with a token for another upstream may be sent
+    // only when it is recorded: a copy would otherwise be answered "not run" although the request
+    // may run elsewhere. For the same reason the watermark does not replace it.
     bool queue(const ticket_key &key, const request_digest &digest, job_id job);
-    void refuse(const ticket_key &key, const request_digest &digest, result_code code,
+    bool refuse(const ticket_key &key, const request_digest &digest, result_code code,
                 std::optional<flow_token_bytes> redirect = std::nullopt);
 
     // Changes of a ticket that the ledger holds. dispatch() must be called right before the request
     // is sent to the upstream.
     void dispatch(const ticket_key &key);
-    void refuseQueued(const ticket_key &key, result_code code);
+    void refuseQueued(const ticket_key &key, result_code code,
+                      std::optional<flow_token_bytes> redirect = std::nullopt);
     // The upstream said that it did not run the request.
     void refuseRunning(const ticket_key &key, result_code code);
     void finish(const ticket_key &key, stored_answer answer);
--- a/packages/core/src/internal/responder.h
+++ b/packages/core/src/internal/responder.h
@@ -33,9 +33,11 @@
     void rejectBlock(exchange_id id, time_point now);
     // Asks the caller to repeat the request with another token: for this agent, or for another one
     // while draining. Returns false, and sends nothing, when draining and no other one is live.
-    bool challenge(exchange_id id, time_point now);
+    // hops is the number of times that the request was moved because of load.
+    bool challenge(exchange_id id, time_point now, std::uint8_t hops = 0);
     // A token for another live upstream of the service, empty when there is none.
-    std::optional<flow_token_bytes> issueElsewhere(exchange_id id, time_point now);
+    std::optional<flow_token_bytes> issueElsewhere(const endpoint &caller, time_point now,
+                                                   std::uint8_t hops);
     // Asks the caller to repeat the request with this token.
     void sendChallenge(exchange_id id, const flow_token_bytes &echo, time_point now);
     // As challenge(), with a token for the given upstream.
--- a/packages/core/src/job_service.cpp
+++ b/packages/core/src/job_service.cpp
@@ -3,6 +3,7 @@
 #include "oriolehold/core/invariant.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace oriolehold::core::internal {
@@ -14,6 +15,8 @@
 constexpr std::chrono::seconds abandonedJobLimit { 10 };
 // Interval at which a scheduler that keeps a slot free is asked again.
 constexpr std::chrono::milliseconds dispatchInterval { 10 };
+// While no other upstream is live, a job that waits behind stragglers is tried again this often.
+constexpr std::chrono::milliseconds moveRetryInterval { 100 };
 // Callers that wait for one job: copies of an order, or repeated requests for one download.
 constexpr std::size_t maxWaiters = 16;
 constexpr std::chrono::seconds maxRetryAfter { 30 };
@@ -44,10 +47,11 @@
 } // namespace
 
 job_service::job_service(job_service_options options, agent_actions &actions,
-                         slot_scheduler &scheduler, admission_policy &admission,
+                         slot_scheduler &scheduler, const admission_policy &admission,
                          caller_channel &channel, responder &responder, body_store &bodies)
     : m_options(options), m_actions(actions), m_admission(admission), m_channel(channel),
-      m_responder(responder), m_bodies(bodies), m_jobs(scheduler), m_ledger(options.ledger)
+      m_responder(responder), m_bodies(bodies), m_jobs(scheduler), m_ledger(options.ledger),
+      m_moveBudget(options.moveBudget)
 { }
 
 void job_service::configure(const upstream &self, std::chrono::seconds ticketLifetime)
@@ -68,7 +72,7 @@
     if (joinDownload(context, key.request))
         return;
     if (m_responder.isDraining()) {
-        if (!m_responder.challenge(context.exchange, now))
+        if (!m_responder.challenge(context.exchange, now, context.hops))
             m_responder.reject(context.exchange, result_code::draining, now);
         return;
     }
@@ -76,6 +80,13 @@
     std::optional<result_code> code = refusal(job, now);
     if (!code && job.isDownload && !connectionFree)
         code = result_code::connectionLimit;
+    if (code && movesInstead(job, *code, now)) {
+        const auto hops = static_cast<std::uint8_t>(job.hops + 1);
+        if (const auto echo = m_responder.issueElsewhere(context.caller, now, hops)) {
+            m_responder.sendChallenge(context.exchange, *echo, now);
+            return;
+        }
+    }
     if (code) {
         record(job, *code, now);
         rejectRefused(context.exchange, *code, job.priority, now);
@@ -110,13 +121,18 @@
 
     ORIOLEHOLD_INVARIANT(context.binding == token_binding::current,
                          "a ticket runs only under a token of this incarnation");
-    if (m_responder.isDraining() && redirectOnce(context, digest, now))
+    // A drain is no sign of load, so it does not count as a hop.
+    if (m_responder.isDraining()
+        && redirectOnce(context, digest, result_code::draining, context.hops, now))
         return;
     agent_job job = makeJob(context, now);
     job.ticket = context.ticket;
     job.request.ticket = context.ticket.number;
     std::optional<result_code> code =
             m_responder.isDraining() ? std::optional(result_code::draining) : refusal(job, now);
+    if (code && movesInstead(job, *code, now)
+        && redirectOnce(context, digest, *code, static_cast<std::uint8_t>(job.hops + 1), now))
+        return;
     if (code)
         m_ledger.refuse(context.ticket, digest, *code);
     else if (!m_ledger.queue(context.ticket, digest, job.request.job))
@@ -131,14 +147,15 @@
 }
 
 bool job_service::redirectOnce(const request_context &context, const request_digest &digest,
-                               time_point now)
+                               result_code code, std::uint8_t hops, time_point now)
 {
-    const auto echo = m_responder.issueElsewhere(context.exchange, now);
+    const auto echo = m_responder.issueElsewhere(context.caller, now, hops);
     if (!echo)
         return false;
     // The refusal is recorded with its token, so that every copy of the request gets the same one
     // and the order can run under one other ticket at most.
-    m_ledger.refuse(context.ticket, digest, result_code::draining, echo);
+    if (!m_ledger.refuse(context.ticket, digest, code, echo))
+        return false;
     m_responder.sendChallenge(context.exchange, *echo, now);
     return true;
 }
@@ -208,7 +225,7 @@
 
 time_point job_service::nextTimer() const
 {
-    return std::min({ m_jobs.timers().next(), m_bodies.nextTimer(), m_nextDispatch });
+    return std::min({ m_jobs.timers().next(), m_bodies.nextTimer(), m_nextDispatch, m_nextMove });
 }
 
 void job_service::advance(time_point now)
@@ -227,6 +244,9 @@
     const request_class &requestClass = *context.requestClass;
     agent_job job;
     job.request.job = m_jobs.nextId();
+    job.caller = context.caller;
+    job.hops = context.hops;
+    job.isMovable = requestClass.kind == class_kind::request && context.hops < maxFlowHops;
     job.request.method = context.request.method;
     job.request.path = context.request.path;
     job.request.queries = context.request.queries;
@@ -239,20 +259,41 @@
     job.bodyDigest = bodyDigestOf(context);
     job.waiters = { waiterOf(context) };
     job.arrival = now;
-    job.expectedService = m_estimator.predict(job.className, job.request.path);
+    if (m_estimator.knowsClass(job.className))
+        job.expectedService = m_estimator.predict(job.className, job.request.path);
+    m_moveBudget.recordRequest(now);
     return job;
 }
 
-std::optional<result_code> job_service::refusal(const agent_job &job, time_point now)
+std::optional<result_code> job_service::refusal(const agent_job &job, time_point now) const
+{
+    admission_request request;
+    request.now = now;
+    request.deadline = job.request.deadline;
+    request.expectedWait = expectedWait(job.priority, job.expectedService, now);
+    request.expectedService = job.expectedService;
+    request.priority = job.priority;
+    request.queued = m_jobs.queued();
+    request.freeMemory = std::numeric_limits<std::size_t>::max(); // not measured
+    const auto code = m_admission.refusal(request);
+    // A job that starts at once is admitted whatever its prediction: only its execution can correct
+    // a prediction that a straggler has spoiled.
+    const bool startsAtOnce =
+            request.expectedWait <= duration::zero() && m_jobs.running() < m_jobs.slots();
+    return startsAtOnce && code != result_code::queueFull ? std::nullopt : code;
+}
+
+duration job_service::expectedWait(std::uint8_t priority, duration expectedService,
+                                   time_point now) const
 {
-    admission_query query;
-    query.priority = job.priority;
-    query.expectedService = job.expectedService;
-    query.expectedWait = m_jobs.expectedWait(job.priority, job.expectedService, now);
-    query.remaining = job.request.deadline - now;
-    query.queued = m_jobs.queued();
-    query.maxQueued = m_options.maxQueued;
-    return m_admission.refuse(query);
+    return m_jobs.expectedWait(priority, expectedService, m_estimator.mean(), now);
+}
+
+bool job_service::movesInstead(const agent_job &job, result_code code, time_point now)
+{
+    const bool mayFitElsewhere =
+            code == result_code::queueFull || code == result_code::deadlineUnreachable;
+    return mayFitElsewhere && job.isMovable && m_moveBudget.tryAcquire(now);
 }
 
 bool job_service::joinDownload(const request_context &context, const request_digest &bodyDigest)
@@ -301,7 +342,7 @@
 
 void job_service::dispatch(time_point now)
 {
-    while (agent_job *job = m_jobs.takeNext(now)) {
+    while (agent_job *job = m_jobs.takeNext(m_estimator.mean(), now)) {
         if (job->request.deadline <= now) {
             refuseQueued(*job, result_code::deadlinePassed, now);
             m_jobs.erase(job->request.job);
@@ -311,6 +352,41 @@
     }
     const bool keepsSlotFree = m_jobs.queued() > 0 && m_jobs.running() < m_jobs.slots();
     m_nextDispatch = keepsSlotFree ? now + dispatchInterval : never;
+    moveBlocked(now);
+}
+
+void job_service::moveBlocked(time_point now)
+{
+    m_nextMove = never;
+    const duration mean = m_estimator.mean();
+    const time_point blocked = m_jobs.blockedFrom(m_options.overdueFactor, mean);
+    if (blocked == never || m_responder.isDraining())
+        return;
+    const duration patience = std::max(m_options.moveAfterServices * mean, m_options.moveAfter);
+    while (agent_job *job = m_jobs.oldestMovable()) {
+        m_nextMove = std::max(blocked, job->arrival + patience);
+        if (m_nextMove > now)
+            return;
+        if (!move(*job, now)) {
+            m_nextMove = now + moveRetryInterval;
+            return;
+        }
+        m_jobs.erase(job->request.job);
+    }
+    m_nextMove = never;
+}
+
+bool job_service::move(agent_job &job, time_point now)
+{
+    const auto hops = static_cast<std::uint8_t>(job.hops + 1);
+    const auto echo = m_responder.issueElsewhere(job.caller, now, hops);
+    if (!echo)
+        return false;
+    if (job.ticket)
+        m_ledger.refuseQueued(*job.ticket, result_code::challenge, echo);
+    for (const job_waiter &waiter : job.waiters)
+        m_responder.sendChallenge(waiter.exchange, *echo, now);
+    return true;
 }
 
 void job_service::start(agent_job &job, time_point now)
@@ -400,7 +476,7 @@
         m_responder.reject(exchange, code, now);
         return;
     }
-    const duration wait = m_jobs.expectedWait(priority, m_estimator.mean(), now);
+    const duration wait = expectedWait(priority, m_estimator.mean(), now);
     m_responder.reject(exchange, code, now, retryAfter(wait));
 }
 
--- a/packages/core/src/job_table.cpp
+++ b/packages/core/src/job_table.cpp
@@ -1,6 +1,7 @@
 #include "internal/job_table.h"
 
 #include "oriolehold/core/invariant.h"
+#include "oriolehold/core/running_prediction.h"
 
 #include <algorithm>
 #include <utility>
@@ -14,13 +15,15 @@
     m_timers.set(toInteger(id), job.request.deadline);
     m_scheduler.enqueue(
             { id, job.priority, job.expectedService, job.arrival, job.request.deadline });
+    if (job.isMovable)
+        m_movable.insert(id);
     m_jobs.emplace(toInteger(id), std::move(job));
 }
 
-agent_job *job_table::takeNext(time_point now)
+agent_job *job_table::takeNext(duration mean, time_point now)
 {
     while (m_running.size() < m_slots) {
-        const auto id = m_scheduler.dequeue(runningTotals(now), m_slots, now);
+        const auto id = m_scheduler.dequeue(runningTotals(mean, now), m_slots, now);
         if (!id)
             return nullptr;
         agent_job *job = find(*id);
@@ -31,6 +34,7 @@
         job->state = job_state::running;
         job->started = now;
         m_running.push_back(*id);
+        m_movable.erase(*id);
         ORIOLEHOLD_INVARIANT(m_running.size() <= m_slots, "no more jobs run than slots exist");
         return job;
     }
@@ -52,25 +56,47 @@
         m_scheduler.remove(id);
     else
         std::erase(m_running, id);
+    m_movable.erase(id);
     m_downloads -= found->second.isDownload ? 1 : 0;
     m_timers.cancel(toInteger(id));
     m_jobs.erase(found);
 }
 
-duration job_table::expectedWait(std::uint8_t priority, duration expectedService,
+duration job_table::expectedWait(std::uint8_t priority, duration expectedService, duration mean,
                                  time_point now) const
 {
-    return m_scheduler.expectedWait(priority, expectedService, runningTotals(now), m_slots, now);
+    return m_scheduler.expectedWait(priority, expectedService, runningTotals(mean, now), m_slots,
+                                    now);
 }
 
-std::vector<duration> job_table::runningTotals(time_point now) const
+time_point job_table::blockedFrom(duration::rep factor, duration mean) const
+{
+    if (m_running.size() < m_slots)
+        return never;
+    time_point blocked {};
+    for (const job_id id : m_running) {
+        const agent_job &job = m_jobs.at(toInteger(id));
+        const duration expected =
+                job.expectedService > duration::zero() ? job.expectedService : mean;
+        if (expected <= duration::zero())
+            return never;
+        blocked = std::max(blocked, job.started + factor * expected);
+    }
+    return blocked;
+}
+
+agent_job *job_table::oldestMovable()
+{
+    return m_movable.empty() ? nullptr : find(*m_movable.begin());
+}
+
+std::vector<duration> job_table::runningTotals(duration mean, time_point now) const
 {
     std::vector<duration> totals;
     totals.reserve(m_running.size());
     std::ranges::transform(m_running, std::back_inserter(totals), [&](job_id id) {
         const agent_job &job = m_jobs.at(toInteger(id));
-        // A job that has outlived its prediction is as long as it has run.
-        return std::max(job.expectedService, now - job.started);
+        return predictTotal(job.expectedService, now - job.started, mean);
     });
     return totals;
 }
--- a/packages/core/src/request_ledger.cpp
+++ b/packages/core/src/request_ledger.cpp
@@ -48,13 +48,13 @@
     return true;
 }
 
-void request_ledger::refuse(const ticket_key &key, const request_digest &digest, result_code code,
+bool request_ledger::refuse(const ticket_key &key, const request_digest &digest, result_code code,
                             std::optional<flow_token_bytes> redirect)
 {
     evictRefusals();
     if (isFull()) {
         m_refusalWatermark = std::max(m_refusalWatermark, key.issuedAt);
-        return;
+        return false;
     }
     const bool inserted =
             m_records
@@ -64,7 +64,9 @@
                     .second;
     ORIOLEHOLD_INVARIANT(inserted, "a ticket in the ledger is not refused again");
     m_byIssue.insert(key);
-    m_refusals.insert(key);
+    if (!redirect)
+        m_refusals.insert(key);
+    return true;
 }
 
 void request_ledger::dispatch(const ticket_key &key)
@@ -80,7 +82,8 @@
     record->state = ticket_state::running;
 }
 
-void request_ledger::refuseQueued(const ticket_key &key, result_code code)
+void request_ledger::refuseQueued(const ticket_key &key, result_code code,
+                                  std::optional<flow_token_bytes> redirect)
 {
     ticket_record *record = find(key);
     ORIOLEHOLD_INVARIANT(record != nullptr && record->state == ticket_state::queued,
@@ -89,8 +92,10 @@
         return;
     record->state = ticket_state::refused;
     record->code = code;
+    record->redirect = redirect;
     m_byIssue.insert(key);
-    m_refusals.insert(key);
+    if (!redirect)
+        m_refusals.insert(key);
 }
 
 void request_ledger::refuseRunning(const ticket_key &key, result_code code)
--- a/packages/core/src/responder.cpp
+++ b/packages/core/src/responder.cpp
@@ -34,23 +34,23 @@
     respond(id, value, flow_continuation::ended, now);
 }
 
-bool responder::challenge(exchange_id id, time_point now)
+bool responder::challenge(exchange_id id, time_point now, std::uint8_t hops)
 {
     const exchange *open = m_channel.find(id);
     if (open == nullptr)
         return false;
     const std::optional<flow_token_bytes> echo = m_draining
-            ? m_issuer.issueElsewhere(open->caller, now)
-            : std::optional(m_issuer.issue(open->caller, now));
+            ? m_issuer.issueElsewhere(open->caller, now, hops)
+            : std::optional(m_issuer.issue(open->caller, now, hops));
     if (echo)
         sendChallenge(id, *echo, now);
     return echo.has_value();
 }
 
-std::optional<flow_token_bytes> responder::issueElsewhere(exchange_id id, time_point now)
+std::optional<flow_token_bytes> responder::issueElsewhere(const endpoint &caller, time_point now,
+                                                          std::uint8_t hops)
 {
-    const exchange *open = m_channel.find(id);
-    return open == nullptr ? std::nullopt : m_issuer.issueElsewhere(open->caller, now);
+    return m_issuer.issueElsewhere(caller, now, hops);
 }
 
 bool responder::redirect(exchange_id id, upstream_id target, time_point now)
--- a/packages/core/tests/agent_core_random_test.cpp
+++ b/packages/core/tests/agent_core_random_test.cpp
@@ -55,10 +55,18 @@
             };
             const bool notRun = count(message_code::serviceUnavailable) > 0;
             const bool done = count(message_code::content) > 0;
+            const bool moved = count(message_code::unauthorized) > 0;
             return history.runs <= 1 && !(notRun && done)
+                    && !(moved && (notRun || done || history.runs > 0))
                     && (!notRun || history.runs == 0 || history.shed);
         });
     }
+    std::size_t moved() const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(m_tickets, [](const auto &item) {
+            return item.second.answers.contains(message_code::unauthorized);
+        }));
+    }
     bool respectsSlots() const { return m_respectsSlots; }
     std::size_t answered() const
     {
@@ -190,14 +198,17 @@
     violations = 0;
     const invariant_handler former = setInvariantHandler(countViolation);
     std::size_t answered = 0;
+    std::size_t moved = 0;
     for (std::uint64_t seed = 1; seed <= 40; ++seed) {
         random_run run(seed);
         run.run(1000);
         CHECK_TRUE_TEXT(run.isConsistent(), std::to_string(seed).c_str());
         CHECK_TRUE(run.respectsSlots());
         answered += run.answered();
+        moved += run.moved();
     }
     setInvariantHandler(former);
     CHECK_EQUAL(0, violations);
     CHECK_TRUE(answered > 1000); // the runs do real work
+    CHECK_TRUE(moved > 10);
 }
--- a/packages/core/tests/flow_token_test.cpp
+++ b/packages/core/tests/flow_token_test.cpp
@@ -62,6 +62,17 @@
     CHECK_TRUE(std::ranges::equal(body, byte_view(bytes).first(body.size())));
 }
 
+TEST(flow_token, HopCountIsInTheFlags)
+{
+    for (std::uint8_t hops = 0; hops <= maxFlowHops; ++hops) {
+        flow_token token = boundToken();
+        token.hops = hops;
+        const flow_token_bytes bytes = codec.seal(token, callerAddress);
+        CHECK_EQUAL(0x11 | hops << 1, bytes[0]);
+        CHECK_TRUE(codec.open(bytes, callerAddress, issueTime).token == token);
+    }
+}
+
 TEST(flow_token, EveryChangedBitIsDetected)
 {
     const flow_token_bytes sealed = codec.seal(boundToken(), callerAddress);
--- /dev/null
+++ b/packages/core/tests/job_service_test.cpp
@@ -0,0 +1,180 @@
+#include "internal/job_service.h"
+
+#include "agent_fakes.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace oriolehold::core;
+using namespace oriolehold::core::testing;
+using oriolehold::coap::message_code;
+
+// Jobs that are moved to another upstream, and what the scheduler and the admission learn. The
+// agent has one slot and a mean service time of 10 ms, so the slot is blocked after 30 ms and a job
+// is moved after a wait of 20 ms.
+TEST_GROUP(job_service)
+{
+    agent_under_test agent;
+
+    void setup() override
+    {
+        learn(agent);
+    }
+    static void learn(agent_under_test & target)
+    {
+        for (std::uint16_t i = 0; i < 3; ++i) {
+            target.receive(order(target.token(100u + i), static_cast<std::uint16_t>(100 + i)));
+            target.pass(10ms);
+            target.complete(i, "booked");
+        }
+        target.receive(order(target.token(200), 200)); // the straggler, job 3
+    }
+    bool isMoved() const
+    {
+        return agent.lastCode() == result_code::challenge
+                && agent.lastEcho().upstream != upstreamOne && !agent.lastEcho().isBound();
+    }
+};
+
+// Guards against head-of-line blocking, and against an order that runs here and elsewhere.
+TEST(job_service, OrderBehindAStragglerMovesAndNeverRunsHere)
+{
+    agent.receive(order(agent.token(1), 1));
+    agent.pass(29ms);
+    CHECK_EQUAL(3, agent.actions.deliveries.size());
+    agent.pass(1ms);
+
+    CHECK_TRUE(isMoved());
+    CHECK_EQUAL(1, agent.lastEcho().hops);
+    agent.complete(3, "late");
+    agent.pass(1s);
+    CHECK_EQUAL(4, agent.actions.jobs.size());
+}
+
+TEST(job_service, OrderThatArrivesBehindAStragglerWaitsBeforeItMoves)
+{
+    agent.pass(100ms);
+    agent.receive(order(agent.token(1), 1));
+    agent.pass(19ms);
+    CHECK_FALSE(isMoved());
+    agent.pass(1ms);
+    CHECK_TRUE(isMoved());
+}
+
+// Guards against an order that runs twice because two copies were sent to two other upstreams.
+TEST(job_service, EveryCopyOfAMovedOrderGetsTheSameToken)
+{
+    agent.receive(order(agent.token(1), 1));
+    agent.receive(order(agent.token(1), 2), entryB);
+    agent.pass(30ms);
+    const flow_token second = agent.lastEcho();
+    CHECK_EQUAL(5, agent.actions.deliveries.size());
+    const delivery &first = agent.actions.deliveries[3];
+    CHECK_TRUE(std::ranges::equal(*first.view().option(oriolehold::coap::option_number::echo),
+                                  *agent.last().option(oriolehold::coap::option_number::echo)));
+    agent.receive(order(agent.token(1, firstIncarnation), 3));
+
+    CHECK_TRUE(agent.lastEcho() == second);
+    CHECK_EQUAL(4, agent.actions.jobs.size());
+}
+
+TEST(job_service, OrderThatWasMovedTwiceStays)
+{
+    agent.receive(order(agent.token(1, firstIncarnation, 0, maxFlowHops), 1));
+    agent.pass(100ms);
+    CHECK_EQUAL(3, agent.actions.deliveries.size());
+    agent.complete(3, "late");
+
+    CHECK_EQUAL(5, agent.actions.jobs.size());
+}
+
+// Guards against endless moves: the hop count would restart with the bound token.
+TEST(job_service, BoundTokenKeepsTheHopCount)
+{
+    agent.receive(order(agent.token(1, incarnation::unknown, 0, 1), 1));
+
+    CHECK_TRUE(agent.lastEcho().incarnation == firstIncarnation);
+    CHECK_EQUAL(1, agent.lastEcho().hops);
+}
+
+TEST(job_service, IdempotentRequestMovesAndADownloadStays)
+{
+    agent.receive(get("reports", agent.token(1), 1));
+    agent.receive(get("guides", agent.token(2), 2));
+    agent.pass(100ms);
+
+    CHECK_TRUE(isMoved());
+    CHECK_EQUAL(2, agent.last().messageId());
+    CHECK_EQUAL(4, agent.actions.deliveries.size());
+    CHECK_EQUAL(1, agent.core->report(agent.now).queued);
+}
+
+TEST(job_service, OrderStaysWhileNoOtherUpstreamIsLive)
+{
+    agent_under_test single(upstreamOne, {}, makeSingleContent());
+    learn(single);
+    single.receive(order(single.token(1), 1));
+    single.pass(500ms);
+    CHECK_EQUAL(3, single.actions.deliveries.size());
+    single.complete(3, "late");
+
+    CHECK_EQUAL(5, single.actions.jobs.size());
+}
+
+TEST(job_service, RefusedOrderMovesWithOneTokenForAllCopies)
+{
+    agent.scheduler.wait = 10s;
+    agent.receive(order(agent.token(1), 1));
+    CHECK_TRUE(isMoved());
+    const flow_token first = agent.lastEcho();
+    agent.scheduler.wait = 0s;
+    agent.receive(order(agent.token(1), 2));
+
+    CHECK_TRUE(agent.lastEcho() == first);
+    agent.complete(3, "late");
+    CHECK_EQUAL(4, agent.actions.jobs.size());
+}
+
+// Guards against moves that multiply the traffic when the whole service is overloaded.
+TEST(job_service, MovesInsteadOfRefusalsAreLimited)
+{
+    agent.scheduler.wait = 10s;
+    int moved = 0;
+    for (std::uint16_t i = 1; i <= 100; ++i) {
+        agent.receive(order(agent.token(i), i));
+        moved += isMoved() ? 1 : 0;
+    }
+
+    CHECK_TRUE(moved >= 10);
+    CHECK_TRUE(moved <= 12);
+    CHECK_EQUAL(4, agent.actions.jobs.size());
+}
+
+// Guards against an agent that refuses all work because stragglers have spoiled its predictions.
+TEST(job_service, JobThatStartsAtOnceIsAdmittedWhateverItsPrediction)
+{
+    agent_under_test slow;
+    slow.receive(order(slow.token(1), 1));
+    slow.pass(1900ms);
+    slow.complete(0, "booked");
+    packet urgent = order(slow.token(2), 2);
+    urgent.query = "deadline=100";
+    slow.receive(urgent);
+
+    CHECK_EQUAL(2, slow.actions.jobs.size());
+}
+
+TEST(job_service, OnlyAClassThatWasNeverSeenHasAnUnknownLength)
+{
+    CHECK_TRUE(agent.scheduler.lengths.front() == 0ms);
+    CHECK_TRUE(agent.scheduler.lengths.back() == 10ms);
+    agent.receive(get("guides", agent.token(1), 1));
+    CHECK_TRUE(agent.scheduler.lengths.back() == 0ms);
+}
+
+TEST(job_service, JobThatOutlivesItsPredictionIsExpectedToGoOn)
+{
+    agent.pass(25ms);
+    agent.core->report(agent.now);
+
+    CHECK_TRUE(agent.scheduler.lastRunning == std::vector<duration> { 40ms });
+}
--- a/packages/core/tests/request_ledger_test.cpp
+++ b/packages/core/tests/request_ledger_test.cpp
@@ -112,3 +112,17 @@
     CHECK_EQUAL(4, violations);
     setInvariantHandler(former);
 }
+
+// Guards against a copy that is answered "not run" although the request may run elsewhere.
+TEST(request_ledger, RefusalWithATokenKeepsItsRecord)
+{
+    const flow_token_bytes echo { 1, 2, 3 };
+    CHECK_TRUE(ledger.refuse({ start, 1 }, digest, result_code::queueFull, echo));
+    CHECK_TRUE(queue({ start, 2 }));
+    ledger.refuseQueued({ start, 2 }, result_code::challenge, echo);
+    CHECK_FALSE(ledger.refuse({ start + 1, 3 }, digest, result_code::queueFull, echo));
+
+    CHECK_TRUE(ledger.lookup({ start, 1 }, digest).record->redirect == echo);
+    CHECK_TRUE(ledger.lookup({ start, 2 }, digest).record->redirect == echo);
+    CHECK_TRUE(verdict({ start + 1, 3 }) == ticket_verdict::refused);
+}
--- a/packages/core/tests/service_time_estimator_test.cpp
+++ b/packages/core/tests/service_time_estimator_test.cpp
@@ -21,6 +21,14 @@
     CHECK_TRUE(estimator.predict("other", "other") == estimator.mean());
 }
 
+TEST(service_time_estimator, KnowsTheClassesOfFinishedJobs)
+{
+    estimator.record("guide", "guides/small", 10ms);
+
+    CHECK_TRUE(estimator.knowsClass("guide"));
+    CHECK_FALSE(estimator.knowsClass("order"));
+}
+
 TEST(service_time_estimator, FollowsAChangeOfSpeed)
 {
     for (int i = 0; i < 100; ++i)
