Move waiting requests also while only some slots are blocked

With one of two slots blocked, the queue behind the other one was the rest of the tail: p99 of short orders 363 ms (trial, overdue factor 2), 161 ms with moves after 3 mean service times. Moves after 1 mean service time gave 139 ms, but 59 orders were refused.

--- a/packages/core/src/internal/job_service.h
+++ b/packages/core/src/internal/job_service.h
@@ -30,11 +30,13 @@
 {
     request_ledger_options ledger;
     // A slot whose job has run this many times its prediction counts as blocked by a straggler.
-    duration::rep overdueFactor = 3;
-    // While all slots are blocked, a job that has waited longer than the larger of these is moved
-    // to another upstream.
-    duration::rep moveAfterServices = 2; // times the mean service time
-    duration moveAfter = std::chrono::milliseconds { 5 };
+    duration::rep overdueFactor = 2;
+    // A job that has waited this many times the mean service time is moved to another upstream
+    // while all slots or some of them are blocked. Without the second rule, p99 of short orders was
+    // 363 ms instead of 161 ms; with 1 instead of 3, 59 of 8,000 orders were refused.
+    duration::rep allBlockedPatience = 1;
+    duration::rep someBlockedPatience = 3;
+    duration moveAfter = std::chrono::milliseconds { 5 }; // least wait before a move
     // Limits the requests that are moved instead of refused: in an overload of the whole service,
     // other upstreams refuse them as well.
     retry_budget_options moveBudget;
--- a/packages/core/src/internal/job_table.h
+++ b/packages/core/src/internal/job_table.h
@@ -43,6 +43,12 @@
     job_state state = job_state::queued;
 };
 
+struct blocked_times
+{
+    time_point first = never; // at least one slot
+    time_point all = never;   // every slot
+};
+
 class job_table
 {
 public:
@@ -69,9 +75,9 @@
     // mean is the running mean of the service times, 0 when unknown.
     duration expectedWait(std::uint8_t priority, duration expectedService, duration mean,
                           time_point now) const;
-    // The time from which every slot holds a job that has run this many times its prediction.
-    // Never while a slot is free or nothing is known about a running job.
-    time_point blockedFrom(duration::rep factor, duration mean) const;
+    // Times from which a slot holds a job that has run this many times its prediction. Never while
+    // a slot is free; a job counts as new while nothing is known about its length.
+    blocked_times blockedFrom(duration::rep factor, duration mean) const;
     // The job that waits longest of those that may be moved, nullptr when there is none.
     agent_job *oldestMovable();
 
--- a/packages/core/src/job_service.cpp
+++ b/packages/core/src/job_service.cpp
@@ -359,12 +359,15 @@
 {
     m_nextMove = never;
     const duration mean = m_estimator.mean();
-    const time_point blocked = m_jobs.blockedFrom(m_options.overdueFactor, mean);
-    if (blocked == never || m_responder.isDraining())
+    const blocked_times blocked = m_jobs.blockedFrom(m_options.overdueFactor, mean);
+    if (blocked.first == never || m_responder.isDraining())
         return;
-    const duration patience = std::max(m_options.moveAfterServices * mean, m_options.moveAfter);
+    const duration patience = std::max(m_options.allBlockedPatience * mean, m_options.moveAfter);
+    const duration partialPatience =
+            std::max(m_options.someBlockedPatience * mean, m_options.moveAfter);
     while (agent_job *job = m_jobs.oldestMovable()) {
-        m_nextMove = std::max(blocked, job->arrival + patience);
+        m_nextMove = std::min(std::max(blocked.all, job->arrival + patience),
+                              std::max(blocked.first, job->arrival + partialPatience));
         if (m_nextMove > now)
             return;
         if (!move(*job, now)) {
--- a/packages/core/src/job_table.cpp
+++ b/packages/core/src/job_table.cpp
@@ -69,18 +69,19 @@
                                     now);
 }
 
-time_point job_table::blockedFrom(duration::rep factor, duration mean) const
+blocked_times job_table::blockedFrom(duration::rep factor, duration mean) const
 {
-    if (m_running.size() < m_slots)
-        return never;
-    time_point blocked {};
+    if (m_running.empty() || m_running.size() < m_slots)
+        return {};
+    blocked_times blocked { never, time_point {} };
     for (const job_id id : m_running) {
         const agent_job &job = m_jobs.at(toInteger(id));
-        const duration expected =
-                job.expectedService > duration::zero() ? job.expectedService : mean;
-        if (expected <= duration::zero())
-            return never;
-        blocked = std::max(blocked, job.started + factor * expected);
+        const bool known = job.expectedService > duration::zero();
+        const duration expected = known ? job.expectedService : mean;
+        const time_point overdue =
+                expected > duration::zero() ? job.started + factor * expected : never;
+        blocked.first = std::min(blocked.first, overdue);
+        blocked.all = std::max(blocked.all, overdue);
     }
     return blocked;
 }
