Stop the probes of a draining entry instance

Ruled out: late packets of callers; the fabric had left it 30 s before. Conclusion: an agent that hears nothing for a second delivers through another instance.

--- a/packages/entry/include/oriolehold/entry/traffic_worker.h
+++ b/packages/entry/include/oriolehold/entry/traffic_worker.h
@@ -37,6 +37,9 @@
     // Runs the packet loop in the calling thread until stop().
     void run();
     void stop() { m_loop.stop(); }
+    // Stops the probes. An agent that hears nothing from this instance for a second delivers
+    // through another.
+    void drain() { m_draining = true; }
     // Puts a configuration into effect. Can be called by any thread.
     void configure(core::configuration_pointer configuration);
 
@@ -75,6 +78,7 @@
     traffic_counters m_counters;
     std::atomic<core::generation_number> m_generation { 0 };
     std::atomic<core::duration::rep> m_lastPacket { 0 };
+    std::atomic<bool> m_draining { false };
 };
 
 } // namespace oriolehold::entry
--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -50,6 +50,8 @@
 void entry_daemon::drain()
 {
     m_draining = true;
+    for (const auto &worker : m_workers)
+        worker->drain();
 }
 
 bool entry_daemon::drained() const
--- a/packages/entry/src/traffic_worker.cpp
+++ b/packages/entry/src/traffic_worker.cpp
@@ -147,9 +147,11 @@
 
 void traffic_worker::sendProbes(core::time_point now)
 {
-    if (now < m_nextProbes || !m_codec)
+    if (now < m_nextProbes)
         return;
     m_nextProbes = now + probeInterval;
+    if (!m_codec || m_draining)
+        return;
     const core::byte_vector probe = m_codec->encode(wire::probe_message { m_router.generation() });
     for (const core::endpoint &agent : m_router.probesDue(now)) {
         ++m_counters.probes;
