--- a/fuzz/fuzz_main.cpp
+++ b/fuzz/fuzz_main.cpp
@@ -1,6 +1,7 @@
 #include "fuzz_targets.h"
 
 // Entry point of libFuzzer. ORIOLEHOLD_FUZZ_TARGET is the name of the program's target.
+// NOLINTNEXTLINE(readability-identifier-naming): the name is libFuzzer's
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     static const oriolehold::fuzz::fuzz_target *const target =
