Count the time in socket buffers against deadlines; mark upstream tokens

Cause: after a pause of 5 s an agent dispatched 30 orders whose deadline had passed, because deadlines counted from the time the packet was read. Ruled out: clock steps (the daemon clock is monotonic) and the ledger (each job had its own number). Change: sockets read the kernel's receive time, the entry passes the age on and the agent subtracts it; tokens towards the upstream carry a marker byte.

--- a/packages/agent/src/traffic_worker.cpp
+++ b/packages/agent/src/traffic_worker.cpp
@@ -106,8 +106,8 @@
     if (!std::holds_alternative<core::handover_message>(*message))
         m_core.observeEntry(envelope.peer, now);
     if (const auto *forwarded = std::get_if<wire::forward_message>(&*message))
-        m_core.receive(envelope.peer, forwarded->caller, forwarded->service, forwarded->packet,
-                       now);
+        m_core.receive(envelope.peer, forwarded->caller, forwarded->service, forwarded->packet, now,
+                       envelope.age + forwarded->age);
     else if (std::holds_alternative<wire::probe_message>(*message))
         m_envelopes.send(envelope.peer,
                          m_codec->encode(wire::probe_reply_message { m_core.report(now) }));
--- a/packages/agent/src/upstream_client.cpp
+++ b/packages/agent/src/upstream_client.cpp
@@ -29,11 +29,17 @@
 
 using token_bytes = std::array<std::uint8_t, 8>;
 
+// libcoap 4.3.1 compares the low 48 bits of a token with its own small state numbers; the marker
+// keeps ours different from them.
+constexpr std::uint8_t tokenMarker = 0xa5;
+constexpr std::size_t tokenNumberStart = 3; // kind, zero, marker, then 5 bytes of the number
+
 token_bytes makeToken(token_kind kind, std::uint64_t number)
 {
-    token_bytes token;
+    token_bytes token {};
     token[0] = static_cast<std::uint8_t>(kind);
-    for (std::size_t i = 1; i < token.size(); ++i)
+    token[2] = tokenMarker;
+    for (std::size_t i = tokenNumberStart; i < token.size(); ++i)
         token[i] = static_cast<std::uint8_t>(number >> (8 * (token.size() - 1 - i)));
     return token;
 }
@@ -41,7 +47,7 @@
 std::uint64_t numberOf(const coap_bin_const_t &token)
 {
     std::uint64_t number = 0;
-    for (std::size_t i = 1; i < token.length; ++i)
+    for (std::size_t i = tokenNumberStart; i < token.length; ++i)
         number = number << 8 | token.s[i];
     return number;
 }
--- a/packages/agent/tests/upstream_client_test.cpp
+++ b/packages/agent/tests/upstream_client_test.cpp
@@ -127,8 +127,8 @@
     LONGS_EQUAL(0, events.ended);
 }
 
-// libcoap's server keeps one observer per session and request: with an observation per feed, only the
-// newest feed of a resource would get updates.
+// libcoap's server keeps one observer per session and request: with an observation per feed, only
+// the newest feed of a resource would get updates.
 TEST(upstream_client, AllFeedsOfOneResourceGetEachUpdate)
 {
     client.startFeed(core::feed_id { 3 }, stockFeed());
--- a/packages/core/include/oriolehold/core/agent_core.h
+++ b/packages/core/include/oriolehold/core/agent_core.h
@@ -115,9 +115,10 @@
 
     // Any envelope of an entry, for example a probe, shows that the entry works.
     void observeEntry(const endpoint &entry, time_point now);
-    // A caller's packet, forwarded by an entry.
+    // A caller's packet, forwarded by an entry. age is the time that it waited in buffers on the
+    // way; it counts against the deadline, so that a paused process does not run expired work.
     void receive(const endpoint &entry, const endpoint &caller, service_id service,
-                 byte_view packet, time_point now);
+                 byte_view packet, time_point now, duration age = {});
     // The upstream's answer to a job. Unknown or finished jobs are ignored.
     void completeJob(job_id job, const upstream_answer &answer, time_point now);
     // A new state of a feed's resource.
--- a/packages/core/src/agent_core.cpp
+++ b/packages/core/src/agent_core.cpp
@@ -26,9 +26,9 @@
 }
 
 void agent_core::receive(const endpoint &entry, const endpoint &caller, service_id service,
-                         byte_view packet, time_point now)
+                         byte_view packet, time_point now, duration age)
 {
-    m_implementation->receive(entry, caller, service, packet, now);
+    m_implementation->receive(entry, caller, service, packet, now, age);
 }
 
 void agent_core::completeJob(job_id job, const upstream_answer &answer, time_point now)
--- a/packages/core/src/agent_receive.cpp
+++ b/packages/core/src/agent_receive.cpp
@@ -20,7 +20,8 @@
 } // namespace
 
 void agent_core::implementation::receive(const endpoint &entry, const endpoint &caller,
-                                         service_id service, byte_view packet, time_point now)
+                                         service_id service, byte_view packet, time_point now,
+                                         duration age)
 {
     if (m_self == nullptr) {
         drop(result_code::unknownService);
@@ -36,7 +37,7 @@
         drop(result_code::wrongService);
         return;
     }
-    const arrival arrived { entry, caller, service, now };
+    const arrival arrived { entry, caller, service, now, age };
     const bool canCarryRequest = message->type() == message_type::confirmable
             || message->type() == message_type::nonConfirmable;
     if (message->isEmpty())
@@ -156,6 +157,7 @@
     context.binding = m_issuer.bindingOf(token);
     context.ticket = { token.issuedAt, token.ticket };
     context.hops = token.hops;
+    context.age = packet.age;
     if (context.request.block2 && context.request.block2->number > 0)
         m_jobs.readBlock(context, packet.now);
     else if (context.requestClass->idempotent)
--- a/packages/core/src/internal/agent_implementation.h
+++ b/packages/core/src/internal/agent_implementation.h
@@ -21,7 +21,7 @@
     bool configure(configuration_pointer configuration, time_point now);
     void observeEntry(const endpoint &entry, time_point now);
     void receive(const endpoint &entry, const endpoint &caller, service_id service,
-                 byte_view packet, time_point now);
+                 byte_view packet, time_point now, duration age);
     void completeJob(job_id job, const upstream_answer &answer, time_point now);
     void updateFeed(feed_id feed, byte_view payload, time_point now);
     void endFeed(feed_id feed, time_point now);
@@ -41,6 +41,7 @@
         endpoint caller;
         service_id service {};
         time_point now;
+        duration age {};
     };
 
     void drop(result_code code) { ++m_dropped[code]; }
--- a/packages/core/src/internal/job_service.h
+++ b/packages/core/src/internal/job_service.h
@@ -21,6 +21,7 @@
     const request_class *requestClass = nullptr;
     caller_request request;
     byte_view payload;
+    duration age {}; // time that the packet waited in buffers before it was read
     token_binding binding = token_binding::unbound;
     ticket_key ticket;
     std::uint8_t hops = 0; // times that the request was moved because of load
--- a/packages/core/src/job_service.cpp
+++ b/packages/core/src/job_service.cpp
@@ -252,7 +252,8 @@
     job.request.queries = context.request.queries;
     job.request.payload.assign(context.payload.begin(), context.payload.end());
     job.request.idempotent = requestClass.idempotent;
-    job.request.deadline = now + context.request.deadline.value_or(requestClass.deadline);
+    job.request.deadline =
+            now - context.age + context.request.deadline.value_or(requestClass.deadline);
     job.className = requestClass.name;
     job.priority = requestClass.priority;
     job.isDownload = requestClass.kind == class_kind::download;
--- a/packages/entry/src/traffic_worker.cpp
+++ b/packages/entry/src/traffic_worker.cpp
@@ -90,7 +90,8 @@
                                  packet.peer,
                                  listener.service,
                                  m_router.generation(),
-                                 { packet.bytes.begin(), packet.bytes.end() } }));
+                                 { packet.bytes.begin(), packet.bytes.end() },
+                                 packet.age }));
         break;
     case core::route_verdict::reply:
         count(decision.code);
--- a/packages/net/include/oriolehold/net/udp_socket.h
+++ b/packages/net/include/oriolehold/net/udp_socket.h
@@ -14,6 +14,8 @@
 {
     core::endpoint peer;
     core::byte_view bytes;
+    // Time that the datagram waited in the socket's buffer; long after the process was paused.
+    core::duration age {};
 };
 
 // A bound, non-blocking IPv4 socket.
--- a/packages/net/src/udp_socket.cpp
+++ b/packages/net/src/udp_socket.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <cstring>
 #include <utility>
 
 namespace oriolehold::net {
@@ -37,6 +38,26 @@
     throw std::system_error(errno, std::generic_category(), what);
 }
 
+// Microseconds since the Unix epoch on the system clock.
+std::int64_t systemMicroseconds()
+{
+    return std::chrono::duration_cast<core::duration>(
+                   std::chrono::system_clock::now().time_since_epoch())
+            .count();
+}
+
+// Age of a datagram by the kernel's receive time, 0 when it is not known.
+core::duration ageOf(msghdr &header, std::int64_t now)
+{
+    const cmsghdr *part = CMSG_FIRSTHDR(&header);
+    if (part == nullptr || part->cmsg_level != SOL_SOCKET || part->cmsg_type != SCM_TIMESTAMPNS)
+        return {};
+    timespec received {};
+    std::memcpy(&received, CMSG_DATA(part), sizeof(received));
+    const std::int64_t microseconds = received.tv_sec * 1'000'000 + received.tv_nsec / 1'000;
+    return core::duration { std::max<std::int64_t>(now - microseconds, 0) };
+}
+
 } // namespace
 
 struct udp_socket::buffers
@@ -45,6 +66,7 @@
     std::array<sockaddr_in, batchSize> inputPeers;
     std::array<iovec, batchSize> inputVectors;
     std::array<mmsghdr, batchSize> inputHeaders;
+    std::array<std::array<char, CMSG_SPACE(sizeof(timespec))>, batchSize> inputControls;
     std::array<datagram, batchSize> received;
 
     std::array<std::array<std::uint8_t, maxReceiveSize>, batchSize> output;
@@ -64,6 +86,7 @@
     setsockopt(m_descriptor, SOL_SOCKET, SO_SNDBUF, &socketBufferSize, sizeof(socketBufferSize));
     const int enabled = 1;
     setsockopt(m_descriptor, IPPROTO_IP, IP_RECVERR, &enabled, sizeof(enabled));
+    setsockopt(m_descriptor, SOL_SOCKET, SO_TIMESTAMPNS, &enabled, sizeof(enabled));
     if (shared)
         setsockopt(m_descriptor, SOL_SOCKET, SO_REUSEPORT, &enabled, sizeof(enabled));
     const sockaddr_in address = toSocketAddress(local);
@@ -103,15 +126,17 @@
         state.inputHeaders[i].msg_hdr.msg_namelen = sizeof(sockaddr_in);
         state.inputHeaders[i].msg_hdr.msg_iov = &state.inputVectors[i];
         state.inputHeaders[i].msg_hdr.msg_iovlen = 1;
+        state.inputHeaders[i].msg_hdr.msg_control = state.inputControls[i].data();
+        state.inputHeaders[i].msg_hdr.msg_controllen = state.inputControls[i].size();
     }
     const int count = recvmmsg(m_descriptor, state.inputHeaders.data(), batchSize, 0, nullptr);
     if (count <= 0)
         return {};
+    const std::int64_t now = systemMicroseconds();
     for (std::size_t i = 0; i < static_cast<std::size_t>(count); ++i) {
-        state.received[i] = {
-            toEndpoint(state.inputPeers[i]),
-            core::byte_view(state.input[i]).first(state.inputHeaders[i].msg_len)
-        };
+        state.received[i] = { toEndpoint(state.inputPeers[i]),
+                              core::byte_view(state.input[i]).first(state.inputHeaders[i].msg_len),
+                              ageOf(state.inputHeaders[i].msg_hdr, now) };
     }
     return std::span<const datagram>(state.received).first(static_cast<std::size_t>(count));
 }
--- a/packages/wire/include/oriolehold/wire/envelope.h
+++ b/packages/wire/include/oriolehold/wire/envelope.h
@@ -22,6 +22,7 @@
     core::service_id service {};
     core::generation_number generation = 0; // in effect at the sender
     core::byte_vector packet;               // CoAP bytes
+    core::duration age {};                  // time that the packet waited at the sender
 
     bool operator==(const forward_message &) const = default;
 };
--- a/packages/wire/src/envelope.cpp
+++ b/packages/wire/src/envelope.cpp
@@ -138,7 +138,8 @@
 template<typename Archive>
 void serialize(Archive &archive, forward_message &value)
 {
-    archive(value.caller, value.service, value.generation, bytes(value.packet));
+    archive(value.caller, value.service, value.generation, bytes(value.packet),
+            microseconds { value.age });
 }
 
 template<typename Archive>
--- a/packages/wire/tests/envelope_test.cpp
+++ b/packages/wire/tests/envelope_test.cpp
@@ -43,7 +43,8 @@
     report.expectedWait = core::duration { 1234 };
     report.generation = 55;
     const std::array<wire::message, 5> messages {
-        wire::forward_message { { 1, 2 }, core::service_id { 3 }, 4, { 5, 6 } },
+        wire::forward_message {
+                { 1, 2 }, core::service_id { 3 }, 4, { 5, 6 }, core::duration { 7 } },
         wire::deliver_message { { 1, 2 }, core::service_id { 3 }, report, { 7 } },
         wire::probe_message { 9 },
         wire::probe_reply_message { report },
