--- a/packages/capacity/bench/child_process.h
+++ b/packages/capacity/bench/child_process.h
@@ -15,6 +15,7 @@
 #include <ctime>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <iterator>
 #include <sstream>
 #include <string>
@@ -34,7 +35,10 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(loopback);
     socklen_t size = sizeof(address);
-    bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+    if (bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0) {
+        std::perror("bind");
+        std::exit(1);
+    }
     getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &size);
     close(descriptor);
     return { loopback, ntohs(address.sin_port) };
@@ -44,8 +48,8 @@
 class child_process
 {
 public:
-    template<typename Body>
-    explicit child_process(Body &&body) : m_id(fork())
+    // The child calls body, which must not return unless it failed.
+    explicit child_process(const std::function<void()> &body) : m_id(fork())
     {
         if (m_id < 0) {
             std::perror("fork");
@@ -112,6 +116,7 @@
 inline void execute(const std::vector<std::string> &command)
 {
     std::vector<char *> arguments;
+    arguments.reserve(command.size() + 1);
     for (const std::string &argument : command)
         arguments.push_back(const_cast<char *>(argument.c_str()));
     arguments.push_back(nullptr);
--- a/packages/capacity/bench/packet_rate_comparison.cpp
+++ b/packages/capacity/bench/packet_rate_comparison.cpp
@@ -161,6 +161,7 @@
     const core::flow_token_codec codec(content);
     const auto issuedAt = static_cast<std::uint32_t>(std::time(nullptr));
     std::vector<core::byte_vector> packets;
+    packets.reserve(packetCount);
     for (std::uint32_t i = 0; i < packetCount; ++i) {
         const core::upstream &owner = content.upstreams[i % content.upstreams.size()];
         const auto echo = codec.seal(
@@ -213,6 +214,7 @@
 double medianOf(const std::vector<round_result> &rounds, double round_result::*member)
 {
     std::vector<double> values;
+    values.reserve(rounds.size());
     for (const round_result &item : rounds)
         values.push_back(item.*member);
     return median(std::move(values));
@@ -277,6 +279,8 @@
     }
     std::vector<double> rateRatios;
     std::vector<double> processorRatios;
+    rateRatios.reserve(bareRounds.size());
+    processorRatios.reserve(bareRounds.size());
     for (std::size_t i = 0; i < bareRounds.size(); ++i) {
         rateRatios.push_back(daemonRounds[i].rate / bareRounds[i].rate);
         processorRatios.push_back(bareRounds[i].processorTime / daemonRounds[i].processorTime);
