--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -41,12 +41,12 @@
     run "$seed" "$programs/core/balancing_comparison" "$seed"
 fi
 if selected capacity; then
-    run "$seed" "$programs/capacity/capacity_comparison"
-    run "$seed" "$programs/capacity/watch_comparison" --seed "$seed"
+    run "$seed" "$programs/entry/capacity_comparison"
+    run "$seed" "$programs/entry/watch_comparison" --seed "$seed"
 fi
 if selected daemon; then
-    run none "$programs/capacity/packet_rate_comparison" --entry "$programs/entry/oriolehold-entry" \
+    run none "$programs/entry/packet_rate_comparison" --entry "$programs/entry/oriolehold-entry" \
         --platform "$dir/standins/standin-platform"
-    run none "$programs/capacity/footprint_comparison" --entry "$programs/entry/oriolehold-entry" \
+    run none "$programs/entry/footprint_comparison" --entry "$programs/entry/oriolehold-entry" \
         --agent "$programs/agent/oriolehold-agent" --platform "$dir/standins/standin-platform"
 fi
