--- a/packages/core/tests/agent_core_test.cpp
+++ b/packages/core/tests/agent_core_test.cpp
@@ -52,22 +52,32 @@
     CHECK_TRUE(agent.lastPayload() == "second");
 }
 
-TEST(agent_core, LostRefusalIsRepeatedAndTheOrderNeverRuns)
+// Guards against an agent that was paused past the deadlines of packets in its socket's buffer.
+TEST(agent_core, TimeInBuffersCountsAgainstTheDeadline)
 {
-    agent_under_test agent(upstreamOne, {}, makeSingleContent()); // nothing can be moved
-    const auto token = agent.token(1);
-    agent.scheduler.wait = 10s;
-    agent.receive(order(token, 1));
-    CHECK_TRUE(agent.lastCode() == result_code::deadlineUnreachable);
-    CHECK_TRUE(agent.last().code() == message_code::serviceUnavailable);
+    const byte_vector bytes = order(agent.token(1), 1).bytes();
+    agent.core->receive(entryA, callerEndpoint, ordersService, bytes, agent.now, 10s);
 
-    agent.scheduler.wait = 0s;
-    agent.receive(order(token, 2));
-
-    CHECK_TRUE(agent.lastCode() == result_code::deadlineUnreachable);
+    CHECK_TRUE(agent.lastCode() == result_code::deadlinePassed);
     CHECK_EQUAL(0, agent.actions.jobs.size());
 }
 
+TEST(agent_core, LostRefusalIsRepeatedAndTheOrderNeverRuns)
+{
+    agent_under_test single(upstreamOne, {}, makeSingleContent()); // nothing can be moved
+    const auto token = single.token(1);
+    single.scheduler.wait = 10s;
+    single.receive(order(token, 1));
+    CHECK_TRUE(single.lastCode() == result_code::deadlineUnreachable);
+    CHECK_TRUE(single.last().code() == message_code::serviceUnavailable);
+
+    single.scheduler.wait = 0s;
+    single.receive(order(token, 2));
+
+    CHECK_TRUE(single.lastCode() == result_code::deadlineUnreachable);
+    CHECK_EQUAL(0, single.actions.jobs.size());
+}
+
 TEST(agent_core, AnotherOrderUnderAUsedTicketIsRejected)
 {
     const auto token = agent.token(1);
