--- a/packages/agent/include/oriolehold/agent/agent_daemon.h
+++ b/packages/agent/include/oriolehold/agent/agent_daemon.h
@@ -25,6 +25,7 @@
     void start() override;
     void drain() override;
     bool drained() const override;
+    std::string remainingWork() const override;
     void stop() override;
 
 private:
--- a/packages/agent/src/agent_daemon.cpp
+++ b/packages/agent/src/agent_daemon.cpp
@@ -62,6 +62,13 @@
     return m_draining && m_worker.drained();
 }
 
+std::string agent_daemon::remainingWork() const
+{
+    const core::agent_report report = m_worker.report();
+    return std::to_string(report.running) + " running, " + std::to_string(report.queued)
+            + " queued, " + std::to_string(report.connections) + " feeds and downloads";
+}
+
 void agent_daemon::stop()
 {
     if (!m_trafficThread.joinable())
--- a/packages/daemon/include/oriolehold/daemon/managed_process.h
+++ b/packages/daemon/include/oriolehold/daemon/managed_process.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <string>
 
 // Life cycle that both daemons share: start, graceful drain on the first signal, stop on the
 // second.
@@ -16,6 +17,8 @@
     virtual void drain() = 0;
     // True when a drain was begun and no work is left.
     virtual bool drained() const = 0;
+    // Work that a stop would cut off now, for the log; empty when there is none.
+    virtual std::string remainingWork() const { return {}; }
     // Ends all threads.
     virtual void stop() = 0;
 };
@@ -23,12 +26,18 @@
 // How a process ended.
 enum class stop_reason { drained, drainLimit, secondSignal };
 
+struct stop_result
+{
+    stop_reason reason = stop_reason::drained;
+    std::string cutOff; // remainingWork() at the stop
+};
+
 // Blocks SIGTERM and SIGINT for the calling thread and all threads that it starts. Must be called
 // before the first thread starts.
 void blockStopSignals();
 
 // Starts the process and returns after it was stopped. The first SIGTERM or SIGINT drains; a second
 // one, or the end of drainLimit, stops at once.
-stop_reason runUntilStopped(managed_process &process, std::chrono::milliseconds drainLimit);
+stop_result runUntilStopped(managed_process &process, std::chrono::milliseconds drainLimit);
 
 } // namespace oriolehold::daemon
--- a/packages/daemon/src/main_program.cpp
+++ b/packages/daemon/src/main_program.cpp
@@ -17,14 +17,16 @@
 // such blocks, and 30 updates of a document of 0.77 MB let the entry grow from 23 to 35 MiB.
 constexpr int returnedBlockSize = 128 * 1024;
 
-int finish(std::string_view name, stop_reason reason)
+int finish(std::string_view name, const stop_result &result)
 {
-    if (reason == stop_reason::secondSignal)
-        platform::log(log_event::secondSignal, { { "program", name } });
-    if (reason == stop_reason::drainLimit)
-        platform::log(log_event::drainCutOff, { { "program", name } });
+    if (result.reason == stop_reason::secondSignal)
+        platform::log(log_event::secondSignal,
+                      { { "program", name }, { "cut_off", result.cutOff } });
+    if (result.reason == stop_reason::drainLimit)
+        platform::log(log_event::drainCutOff,
+                      { { "program", name }, { "cut_off", result.cutOff } });
     platform::log(log_event::processStop, { { "program", name } });
-    return reason == stop_reason::drained ? exitSuccess : exitCutOff;
+    return result.reason == stop_reason::drained ? exitSuccess : exitCutOff;
 }
 
 } // namespace
--- a/packages/daemon/src/managed_process.cpp
+++ b/packages/daemon/src/managed_process.cpp
@@ -28,17 +28,17 @@
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
 
-stop_reason runUntilStopped(managed_process &process, std::chrono::milliseconds drainLimit)
+stop_result runUntilStopped(managed_process &process, std::chrono::milliseconds drainLimit)
 {
     const sigset_t signals = stopSignals();
     std::optional<steady_time> deadline;
-    stop_reason reason = stop_reason::drained;
+    stop_result result;
     process.start();
     while (!process.drained()) {
         const bool signaled = sigtimedwait(&signals, nullptr, &pollInterval) > 0;
         const steady_time now = std::chrono::steady_clock::now();
         if (signaled && deadline) {
-            reason = stop_reason::secondSignal;
+            result.reason = stop_reason::secondSignal;
             break;
         }
         if (signaled) {
@@ -46,12 +46,14 @@
             process.drain();
         }
         if (deadline && now >= *deadline) {
-            reason = stop_reason::drainLimit;
+            result.reason = stop_reason::drainLimit;
             break;
         }
     }
+    if (result.reason != stop_reason::drained)
+        result.cutOff = process.remainingWork();
     process.stop();
-    return reason;
+    return result;
 }
 
 } // namespace oriolehold::daemon
--- a/packages/daemon/tests/managed_process_test.cpp
+++ b/packages/daemon/tests/managed_process_test.cpp
@@ -23,6 +23,7 @@
         isDrained = drainsAtOnce;
     }
     bool drained() const override { return isDrained; }
+    std::string remainingWork() const override { return "one feed"; }
     void stop() override { ++stops; }
 
     bool drainsAtOnce = true;
@@ -46,7 +47,7 @@
 
 TEST(managed_process, FirstSignalDrainsBeforeTheStop)
 {
-    CHECK_TRUE(runUntilStopped(process, 10s) == stop_reason::drained);
+    CHECK_TRUE(runUntilStopped(process, 10s).reason == stop_reason::drained);
     CHECK_EQUAL(1, process.drains);
     CHECK_EQUAL(1, process.stops);
 }
@@ -56,7 +57,7 @@
     process.drainsAtOnce = false;
     process.signalWhileDraining = true;
 
-    CHECK_TRUE(runUntilStopped(process, 10s) == stop_reason::secondSignal);
+    CHECK_TRUE(runUntilStopped(process, 10s).reason == stop_reason::secondSignal);
     CHECK_EQUAL(1, process.stops);
 }
 
@@ -64,6 +65,9 @@
 {
     process.drainsAtOnce = false;
 
-    CHECK_TRUE(runUntilStopped(process, 1ms) == stop_reason::drainLimit);
+    const stop_result result = runUntilStopped(process, 1ms);
+
+    CHECK_TRUE(result.reason == stop_reason::drainLimit);
+    STRCMP_EQUAL("one feed", result.cutOff.c_str());
     CHECK_EQUAL(1, process.stops);
 }
--- a/packages/platform/src/configuration_document.cpp
+++ b/packages/platform/src/configuration_document.cpp
@@ -291,7 +291,7 @@
                                     { "zone", entry.zone },
                                     { "address", core::toString(entry.address) } });
     }
-    return root.dump(2) + '\n';
+    return root.dump() + '\n';
 }
 
 } // namespace oriolehold::platform
