Install extra packages through the one install script

Cause: fuzz.sh repeated the package loop of install.sh. Ruled out: listing the fuzz packages for everyone; only fuzz.sh needs them. Conclusion: one place installs packages. Two comments were reworded.

--- a/packages/core/src/job_service.cpp
+++ b/packages/core/src/job_service.cpp
@@ -275,7 +275,8 @@
     request.expectedService = job.expectedService;
     request.priority = job.priority;
     request.queued = m_jobs.queued();
-    request.freeMemory = std::numeric_limits<std::size_t>::max(); // not measured
+    request.freeMemory = std::numeric_limits<std::size_t>::max(); // the bounds of queue, ledger and
+                                                                  // bodies limit memory
     const auto code = m_admission.refusal(request);
     // A job that starts at once is admitted whatever its prediction: only its execution can correct
     // a prediction that a straggler has spoiled.
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -15,18 +15,7 @@
 [ ${#targets[@]} -gt 0 ] || mapfile -t targets < <(cd fuzz/corpus && printf '%s\n' *)
 
 # The runtime of clang's sanitizers and of libFuzzer. Only this script needs it.
-packages=(clang-14 libclang-rt-14-dev)
-scripts/install.sh
-missing=()
-for package in "${packages[@]}"; do
-    dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'install ok installed' || missing+=("$package")
-done
-if [ ${#missing[@]} -gt 0 ]; then
-    sudo=""
-    [ "$(id -u)" = 0 ] || sudo=sudo
-    $sudo apt-get update -qq
-    DEBIAN_FRONTEND=noninteractive $sudo apt-get install -y -qq "${missing[@]}" >/dev/null
-fi
+scripts/install.sh clang-14 libclang-rt-14-dev
 
 dir=build-fuzz
 cmake -S . -B "$dir" -G Ninja -DORIOLEHOLD_FUZZERS=ON -DCMAKE_CXX_COMPILER=clang++-14 >/dev/null
--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -1,10 +1,12 @@
 #!/usr/bin/env bash
-# Installs the Debian packages that the build and the tests need. Does nothing when all are present.
+# Installs the Debian packages that the build and the tests need, and those given as arguments. Does nothing when all are
+# present.
 set -euo pipefail
 packages=(
     build-essential cmake ninja-build ccache pkg-config clang-format clang-tidy
     libcxxtools-dev libcereal-dev libspdlog-dev libtclap-dev libcpputest-dev libboost1.81-dev
     libcoap3-dev libsodium-dev nlohmann-json3-dev libbenchmark-dev libssl-dev python3
+    "$@"
 )
 missing=()
 for package in "${packages[@]}"; do
