Let feeds of the caller stand-in stay ended after their deregistration

Cause: with the longer wait for the last acknowledgements, feeds registered again after their deregistration (its answer has no Observe option and counted as a failure), so agents kept feeds of callers that were gone and ended with status 5. Conclusion: a fault of the stand-in only. The wait is 4 s, which covers one retransmission.

--- a/standins/caller/feed.cpp
+++ b/standins/caller/feed.cpp
@@ -54,6 +54,9 @@
 
 bool feed::receive(const incoming_response &response, std::int64_t nowUs)
 {
+    // A notification that arrives after the end is answered with RST.
+    if (m_ended)
+        return !response.observe.has_value();
     if (response.echo)
         m_echo = *response.echo;
     const bool pending = response.token == m_pendingToken;
@@ -137,7 +140,7 @@
 
 void feed::advance(std::int64_t nowUs)
 {
-    if (nowUs < m_nextRegistrationUs)
+    if (m_ended || nowUs < m_nextRegistrationUs)
         return;
     if (m_establishedUs != 0)
         ++m_reRegistrations;
@@ -146,6 +149,7 @@
 
 void feed::deregister()
 {
+    m_ended = true;
     if (!established())
         return;
     outgoing_request request;
--- a/standins/caller/feed.h
+++ b/standins/caller/feed.h
@@ -2,6 +2,8 @@
 
 #include "exchange.h"
 
+#include <limits>
+
 namespace oriolehold::standins {
 
 struct feed_parameters
@@ -25,7 +27,10 @@
     bool receive(const incoming_response &response, std::int64_t nowUs) override;
     void receiveReset(const std::string &token, std::int64_t nowUs) override;
     void advance(std::int64_t nowUs) override;
-    std::int64_t nextTimer() const override { return m_nextRegistrationUs; }
+    std::int64_t nextTimer() const override
+    {
+        return m_ended ? std::numeric_limits<std::int64_t>::max() : m_nextRegistrationUs;
+    }
     bool finished() const override { return false; }
     nlohmann::json record(std::int64_t nowUs) const override;
 
@@ -51,6 +56,7 @@
     std::int64_t m_establishedUs = 0;
     std::int64_t m_lastContactUs = 0;
     std::int64_t m_nextRegistrationUs = 0;
+    bool m_ended = false;            // deregistered; nothing is registered again
     std::int64_t m_longestGapUs = 0; // between any two notifications
     std::int64_t m_lastChangeUs = 0;
     std::int64_t m_longestStandstillUs = 0; // between two different states
--- a/standins/caller/main.cpp
+++ b/standins/caller/main.cpp
@@ -14,8 +14,8 @@
 
 using namespace oriolehold::standins;
 
-// Time in which the peers may answer the end of the feeds.
-constexpr std::int64_t farewellUs = 8'000'000;
+// Time in which the peers may answer the end of the feeds; it covers one retransmission of libcoap.
+constexpr std::int64_t farewellUs = 4'000'000;
 
 volatile std::sig_atomic_t stopRequested = 0;
 volatile std::sig_atomic_t endOfLoadRequested = 0;
