--- a/packages/agent/src/agent_daemon.cpp
+++ b/packages/agent/src/agent_daemon.cpp
@@ -1,6 +1,7 @@
 #include "oriolehold/agent/agent_daemon.h"
 
 #include "oriolehold/core/slot_scheduler_factory.h"
+#include "oriolehold/platform/log_events.h"
 
 #include <nlohmann/json.hpp>
 
@@ -53,8 +54,10 @@
 
 void agent_daemon::drain()
 {
-    if (!m_draining.exchange(true))
-        m_worker.drain();
+    if (m_draining.exchange(true))
+        return;
+    platform::log(platform::log_event::drainStarted, { { "program", "oriolehold-agent" } });
+    m_worker.drain();
 }
 
 bool agent_daemon::drained() const
--- a/packages/core/tests/request_ledger_test.cpp
+++ b/packages/core/tests/request_ledger_test.cpp
@@ -58,6 +58,20 @@
     CHECK_TRUE(verdict({ start + 11, 5 }) == ticket_verdict::fresh);
 }
 
+// Guards against the answer "not run" to a copy of an order that already runs under the other
+// token.
+TEST(request_ledger, RefusalWithARedirectIsNotReplacedByTheWatermark)
+{
+    const flow_token_bytes echo { 7 };
+    ledger.refuse({ start, 1 }, digest, result_code::draining, echo);
+    CHECK_TRUE(queue({ start + 1, 2 }));
+    CHECK_FALSE(queue({ start + 2, 3 }));
+
+    const ticket_lookup found = ledger.lookup({ start, 1 }, digest);
+    CHECK_TRUE(found.verdict == ticket_verdict::known);
+    CHECK_TRUE(found.record->redirect == echo);
+}
+
 TEST(request_ledger, RefusalsMakeRoomAndStayRefused)
 {
     ledger.refuse({ start, 1 }, digest, result_code::queueFull);
--- a/packages/daemon/src/main_program.cpp
+++ b/packages/daemon/src/main_program.cpp
@@ -25,6 +25,8 @@
     if (result.reason == stop_reason::drainLimit)
         platform::log(log_event::drainCutOff,
                       { { "program", name }, { "cut_off", result.cutOff } });
+    if (result.reason == stop_reason::drained)
+        platform::log(log_event::drainFinished, { { "program", name } });
     platform::log(log_event::processStop, { { "program", name } });
     return result.reason == stop_reason::drained ? exitSuccess : exitCutOff;
 }
--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -1,6 +1,7 @@
 #include "oriolehold/entry/entry_daemon.h"
 
 #include "oriolehold/core/balancing_policy_factory.h"
+#include "oriolehold/platform/log_events.h"
 
 #include <nlohmann/json.hpp>
 
@@ -49,7 +50,9 @@
 
 void entry_daemon::drain()
 {
-    m_draining = true;
+    if (m_draining.exchange(true))
+        return;
+    platform::log(platform::log_event::drainStarted, { { "program", "oriolehold-entry" } });
     for (const auto &worker : m_workers)
         worker->drain();
 }
