--- a/packages/agent/include/oriolehold/agent/flow_agent_daemon.h
+++ b/packages/agent/include/oriolehold/agent/flow_agent_daemon.h
@@ -7,6 +7,7 @@
 #include "oriolehold/net/event_loop.h"
 #include "oriolehold/net/udp_socket.h"
 #include "oriolehold/runtime/settings.h"
+#include "oriolehold/wire/flow_datagram.h"
 
 #include <atomic>
 #include <mutex>
@@ -25,6 +26,8 @@
 
     void start() override;
     void drain() override;
+    // Nothing of an agent's settings can change while it runs; logs whether they did.
+    void reload() override;
     bool drained() const override { return m_draining.load(); }
     void stop() override;
 
@@ -68,6 +71,7 @@
     std::string_view readyPath() const override { return m_settings.readyPath; }
 
     const runtime::flow_settings m_settings;
+    const wire::flow_document_codec m_documents;
     net::daemon_clock m_clock;
     net::event_loop m_loop;
     net::udp_socket m_packets;
--- a/packages/agent/src/flow_agent_daemon.cpp
+++ b/packages/agent/src/flow_agent_daemon.cpp
@@ -1,7 +1,7 @@
 #include "oriolehold/agent/flow_agent_daemon.h"
 
+#include "oriolehold/daemon/settings_reload.h"
 #include "oriolehold/runtime/log_events.h"
-#include "oriolehold/wire/flow_datagram.h"
 
 #include <random>
 
@@ -47,7 +47,7 @@
     : m_settings(settings), m_packets(settings.packets), m_upstream(settings.upstreamPackets),
       m_messages({ settings.packets.address, settings.peerPort }),
       m_output(m_packets, m_upstream, m_messages, settings.upstream),
-      m_agent({ randomNumber(), settings.service }, codec, m_output, m_log),
+      m_agent({ randomNumber(), settings.service }, codec, m_documents, m_output, m_log),
       m_admin(settings.admin, *this)
 { }
 
@@ -72,6 +72,11 @@
         runtime::log(log_event::drainStarted, { { "program", "oriolehold-agent" } });
 }
 
+void flow_agent_daemon::reload()
+{
+    daemon::reloadSettings(m_settings, runtime::loadFlowAgentSettings);
+}
+
 void flow_agent_daemon::stop()
 {
     m_admin.stop();
--- a/packages/daemon/include/oriolehold/daemon/decision_log.h
+++ b/packages/daemon/include/oriolehold/daemon/decision_log.h
@@ -11,6 +11,7 @@
 public:
     void decided(const flow::flow_decision &decision) override;
     void changed(const flow::directory_change &change) override;
+    void routesChanged(const flow::flow_configuration &configuration) override;
 };
 
 } // namespace oriolehold::daemon
--- a/packages/daemon/include/oriolehold/daemon/managed_process.h
+++ b/packages/daemon/include/oriolehold/daemon/managed_process.h
@@ -19,6 +19,8 @@
     virtual bool drained() const = 0;
     // Work that a stop would cut off now, for the log; empty when there is none.
     virtual std::string remainingWork() const { return {}; }
+    // The settings file may have changed. Called by the thread of runUntilStopped().
+    virtual void reload() { }
     // Ends all threads.
     virtual void stop() = 0;
 };
@@ -32,12 +34,12 @@
     std::string cutOff; // remainingWork() at the stop
 };
 
-// Blocks SIGTERM and SIGINT for the calling thread and all threads that it starts. Must be called
+// Blocks SIGTERM, SIGINT and SIGHUP for the calling thread and all threads that it starts. Must be called
 // before the first thread starts.
 void blockStopSignals();
 
 // Starts the process and returns after it was stopped. The first SIGTERM or SIGINT drains; a second
-// one, or the end of drainLimit, stops at once.
+// one, or the end of drainLimit, stops at once. SIGHUP reloads.
 stop_result runUntilStopped(managed_process &process, std::chrono::milliseconds drainLimit);
 
 } // namespace oriolehold::daemon
--- a/packages/daemon/src/decision_log.cpp
+++ b/packages/daemon/src/decision_log.cpp
@@ -80,4 +80,10 @@
                  { { "upstream", change.id }, { "address", core::toString(change.address) } });
 }
 
+void decision_log::routesChanged(const flow::flow_configuration &configuration)
+{
+    runtime::log(log_event::routesInForce, { { "version", configuration.version },
+                                             { "routes", configuration.routes.size() } });
+}
+
 } // namespace oriolehold::daemon
--- a/packages/daemon/src/managed_process.cpp
+++ b/packages/daemon/src/managed_process.cpp
@@ -11,12 +11,13 @@
 
 constexpr timespec pollInterval { 0, 50'000'000 }; // 50 ms
 
-sigset_t stopSignals()
+sigset_t handledSignals()
 {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     return signals;
 }
 
@@ -24,18 +25,21 @@
 
 void blockStopSignals()
 {
-    const sigset_t signals = stopSignals();
+    const sigset_t signals = handledSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
 
 stop_result runUntilStopped(managed_process &process, std::chrono::milliseconds drainLimit)
 {
-    const sigset_t signals = stopSignals();
+    const sigset_t signals = handledSignals();
     std::optional<steady_time> deadline;
     stop_result result;
     process.start();
     while (!process.drained()) {
-        const bool signaled = sigtimedwait(&signals, nullptr, &pollInterval) > 0;
+        const int signal = sigtimedwait(&signals, nullptr, &pollInterval);
+        if (signal == SIGHUP)
+            process.reload();
+        const bool signaled = signal > 0 && signal != SIGHUP;
         const steady_time now = std::chrono::steady_clock::now();
         if (signaled && deadline) {
             result.reason = stop_reason::secondSignal;
--- /dev/null
+++ b/packages/daemon/src/settings_reload.cpp
@@ -0,0 +1,34 @@
+#include "oriolehold/daemon/settings_reload.h"
+
+#include "oriolehold/runtime/log_events.h"
+
+namespace oriolehold::daemon {
+
+using runtime::log_event;
+
+std::optional<runtime::flow_settings> reloadSettings(const runtime::flow_settings &present,
+                                                     const flow_settings_loader &load)
+{
+    using outcome = std::optional<runtime::flow_settings>;
+    return boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<outcome> {
+                BOOST_LEAF_AUTO(settings, load(present.file));
+                const bool changed = !(settings == present);
+                runtime::log(log_event::settingsReloaded,
+                             { { "file", present.file },
+                               { "changed", std::string_view(changed ? "yes" : "no") } });
+                return changed ? outcome(std::move(settings)) : outcome();
+            },
+            [&](const runtime::settings_error &error) {
+                runtime::log(log_event::settingsInvalid, { { "file", present.file },
+                                                           { "path", error.path },
+                                                           { "expected", error.expected } });
+                return outcome();
+            },
+            [&] {
+                runtime::log(log_event::settingsInvalid, { { "file", present.file } });
+                return outcome();
+            });
+}
+
+} // namespace oriolehold::daemon
--- a/packages/daemon/tests/managed_process_test.cpp
+++ b/packages/daemon/tests/managed_process_test.cpp
@@ -14,7 +14,12 @@
 class fake_process final : public managed_process
 {
 public:
-    void start() override { kill(getpid(), SIGTERM); }
+    void start() override { kill(getpid(), firstSignal); }
+    void reload() override
+    {
+        ++reloads;
+        kill(getpid(), SIGTERM);
+    }
     void drain() override
     {
         ++drains;
@@ -29,6 +34,8 @@
     bool drainsAtOnce = true;
     bool signalWhileDraining = false;
     bool isDrained = false;
+    int firstSignal = SIGTERM;
+    int reloads = 0;
     int drains = 0;
     int stops = 0;
 };
@@ -71,3 +78,13 @@
     STRCMP_EQUAL("one feed", result.cutOff.c_str());
     CHECK_EQUAL(1, process.stops);
 }
+
+// Without a handler, SIGHUP ends the process.
+TEST(managed_process, HangUpReloadsAndDoesNotStop)
+{
+    process.firstSignal = SIGHUP;
+
+    CHECK_TRUE(runUntilStopped(process, 10s).reason == stop_reason::drained);
+    CHECK_EQUAL(1, process.reloads);
+    CHECK_EQUAL(1, process.drains);
+}
--- a/packages/entry/include/oriolehold/entry/flow_entry_daemon.h
+++ b/packages/entry/include/oriolehold/entry/flow_entry_daemon.h
@@ -7,16 +7,18 @@
 #include "oriolehold/net/event_loop.h"
 #include "oriolehold/net/udp_socket.h"
 #include "oriolehold/runtime/settings.h"
+#include "oriolehold/wire/flow_datagram.h"
 
 #include <atomic>
+#include <condition_variable>
 #include <mutex>
 #include <thread>
 
 namespace oriolehold::entry {
 
 // Makes the source of routes and upstreams. Its calls end early once stopped is set.
-using view_source_factory =
-        std::function<std::unique_ptr<flow::view_source>(const std::atomic<bool> &stopped)>;
+using view_source_factory = std::function<std::unique_ptr<flow::view_source>(
+        const core::endpoint &store, const std::atomic<bool> &stopped)>;
 
 // The entry instance on the flow path: one traffic thread, one control thread that reads the store,
 // and the admin interface.
@@ -30,6 +32,7 @@
 
     void start() override;
     void drain() override;
+    void reload() override;
     bool drained() const override;
     void stop() override;
 
@@ -57,6 +60,7 @@
     void receivePackets();
     void receiveMessages();
     core::duration idle();
+    void requestRead(core::time_point now);
     void readViews();
     void readOnce();
 
@@ -68,7 +72,9 @@
     bool drain(std::string_view) override { return false; }
     std::string_view readyPath() const override { return m_settings.readyPath; }
 
-    const runtime::flow_settings m_settings;
+    runtime::flow_settings m_settings; // the thread of runUntilStopped() changes store
+    const view_source_factory m_makeSource;
+    const wire::flow_document_codec m_documents;
     net::daemon_clock m_clock;
     net::event_loop m_loop;
     net::udp_socket m_packets;
@@ -81,6 +87,11 @@
     std::atomic<bool> m_stopped { false };
     std::unique_ptr<flow::view_source> m_source; // control thread only
     bool m_storeReachable = true;                // control thread only
+    bool m_reading = false;                      // traffic thread only
+    std::mutex m_controlMutex;
+    std::condition_variable m_controlWake;
+    bool m_readRequested = false;              // guarded by m_controlMutex
+    std::optional<core::endpoint> m_newStore; // guarded by m_controlMutex
     admin::admin_server m_admin;
 
     std::atomic<bool> m_ready { false };
--- a/packages/entry/src/flow_entry_daemon.cpp
+++ b/packages/entry/src/flow_entry_daemon.cpp
@@ -1,9 +1,11 @@
 #include "oriolehold/entry/flow_entry_daemon.h"
 
+#include "oriolehold/daemon/settings_reload.h"
 #include "oriolehold/runtime/log_events.h"
-#include "oriolehold/wire/flow_datagram.h"
 
+#include <algorithm>
 #include <random>
+#include <utility>
 
 namespace oriolehold::entry {
 
@@ -12,11 +14,8 @@
 using namespace std::chrono_literals;
 using runtime::log_event;
 
-// Routes and upstreams must be in force within a few seconds of their publication; three reads fit
-// into the shortest such bound.
-constexpr std::chrono::milliseconds readInterval { 1000 };
-// Before the first complete view.
-constexpr std::chrono::milliseconds firstReadInterval { 100 };
+// Readiness is checked again after this time until it holds.
+constexpr core::duration readyInterval = 50ms;
 // The platform takes an instance out of rotation after this number of refused checks.
 constexpr unsigned checksUntilRemoved = 2;
 
@@ -26,6 +25,13 @@
     return std::uint64_t { device() } << 32 | device();
 }
 
+std::vector<std::uint32_t> machinesOf(std::span<const core::endpoint> addresses)
+{
+    std::vector<std::uint32_t> result(addresses.size());
+    std::ranges::transform(addresses, result.begin(), &core::endpoint::address);
+    return result;
+}
+
 } // namespace
 
 void flow_entry_daemon::socket_output::sendToAgent(std::uint32_t machine, core::byte_view packet)
@@ -48,11 +54,12 @@
 flow_entry_daemon::flow_entry_daemon(const runtime::flow_settings &settings,
                                      const flow::packet_codec &codec,
                                      const view_source_factory &makeSource)
-    : m_settings(settings), m_packets(settings.packets),
+    : m_settings(settings), m_makeSource(makeSource), m_packets(settings.packets),
       m_messages({ settings.packets.address, settings.peerPort }), m_output(m_packets, m_messages),
       m_random(randomNumber()), m_policy(m_random),
-      m_balancer({ m_random.next(), settings.zone }, codec, m_policy, m_output, m_log),
-      m_source(makeSource(m_stopped)), m_admin(settings.admin, *this)
+      m_balancer({ m_random.next(), settings.zone, machinesOf(settings.seeds) }, codec, m_documents,
+                 m_policy, m_output, m_log),
+      m_source(makeSource(settings.store, m_stopped)), m_admin(settings.admin, *this)
 { }
 
 flow_entry_daemon::~flow_entry_daemon()
@@ -83,6 +90,7 @@
 void flow_entry_daemon::stop()
 {
     m_stopped.store(true);
+    m_controlWake.notify_all();
     m_admin.stop();
     m_loop.stop();
     if (m_traffic.joinable())
@@ -113,23 +121,44 @@
     const core::duration wait = m_balancer.tick(now);
     m_packets.flush();
     m_messages.flush();
+    if (m_balancer.readDue(now) && !m_reading)
+        requestRead(now);
     if (!m_ready.load() && m_balancer.ready(now)) {
         m_ready.store(true);
         runtime::log(log_event::processReady,
-                     { { "version", m_balancer.configurationVersion() },
+                     { { "version", m_balancer.view().configuration().version },
                        { "flows", m_balancer.knownFlows() } });
     }
     const std::scoped_lock lock(m_metricsMutex);
     m_published = m_balancer.counters();
-    return m_ready.load() ? wait : std::min<core::duration>(wait, firstReadInterval);
+    return m_ready.load() ? wait : std::min(wait, readyInterval);
+}
+
+void flow_entry_daemon::requestRead(core::time_point now)
+{
+    m_reading = true;
+    m_balancer.beginRead(now);
+    {
+        const std::scoped_lock lock(m_controlMutex);
+        m_readRequested = true;
+    }
+    m_controlWake.notify_one();
 }
 
 void flow_entry_daemon::readViews()
 {
-    while (!m_stopped.load()) {
-        const auto begin = std::chrono::steady_clock::now();
+    while (true) {
+        {
+            std::unique_lock lock(m_controlMutex);
+            m_controlWake.wait(lock, [this] { return m_readRequested || m_stopped.load(); });
+            if (m_stopped.load())
+                return;
+            m_readRequested = false;
+            if (m_newStore)
+                m_source = m_makeSource(*std::exchange(m_newStore, std::nullopt), m_stopped);
+        }
         readOnce();
-        std::this_thread::sleep_until(begin + (m_ready.load() ? readInterval : firstReadInterval));
+        m_loop.post([this] { m_reading = false; });
     }
 }
 
@@ -140,18 +169,11 @@
     boost::leaf::try_handle_all(
             [&]() -> boost::leaf::result<void> {
                 BOOST_LEAF_AUTO(upstreams, m_source->readUpstreams());
-                m_loop.post([this, upstreams = std::move(upstreams), readAt] {
-                    m_balancer.setUpstreams(upstreams, readAt, m_clock.now());
-                });
                 BOOST_LEAF_AUTO(configuration, m_source->readConfiguration());
-                if (configuration) {
-                    runtime::log(log_event::routesInForce,
-                                 { { "version", configuration->version },
-                                   { "routes", configuration->routes.size() } });
-                    m_loop.post([this, configuration = std::move(*configuration), readAt] {
-                        m_balancer.setConfiguration(configuration, readAt);
-                    });
-                }
+                m_loop.post([this, upstreams = std::move(upstreams),
+                             configuration = std::move(configuration), readAt] {
+                    m_balancer.finishRead(configuration, upstreams, readAt, m_clock.now());
+                });
                 return {};
             },
             [&](flow::read_failure reason) { failure = flow::toString(reason); },
@@ -163,6 +185,16 @@
     m_storeReachable = reachable;
 }
 
+void flow_entry_daemon::reload()
+{
+    const auto fresh = daemon::reloadSettings(m_settings, runtime::loadFlowEntrySettings);
+    if (!fresh || fresh->store == m_settings.store)
+        return;
+    m_settings.store = fresh->store;
+    const std::scoped_lock lock(m_controlMutex);
+    m_newStore = fresh->store;
+}
+
 bool flow_entry_daemon::ready() const
 {
     if (m_draining.load()) {
--- a/packages/entry/src/main.cpp
+++ b/packages/entry/src/main.cpp
@@ -17,9 +17,9 @@
         [](const runtime::flow_settings &) { return std::optional<runtime::settings_error>(); },
         [](const runtime::flow_settings &settings) -> std::unique_ptr<daemon::managed_process> {
             return std::make_unique<entry::flow_entry_daemon>(
-                    settings, codec, [&](const std::atomic<bool> &stopped) {
-                        return std::make_unique<platform_adapter::store_client>(settings.store,
-                                                                                stopped);
+                    settings, codec,
+                    [](const core::endpoint &store, const std::atomic<bool> &stopped) {
+                        return std::make_unique<platform_adapter::store_client>(store, stopped);
                     });
         },
     };
--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -4,7 +4,9 @@
 #include "oriolehold/flow/packet.h"
 #include "oriolehold/flow/peer_message.h"
 #include "oriolehold/flow/placement_policy.h"
+#include "oriolehold/flow/read_schedule.h"
 #include "oriolehold/flow/upstream_directory.h"
+#include "oriolehold/flow/view_exchange.h"
 
 #include <boost/unordered/unordered_flat_map.hpp>
 
@@ -16,19 +18,18 @@
 namespace oriolehold::flow {
 
 // Where an entry instance sends. The machine is the IPv4 address of an agent.
-class entry_output
+class entry_output : public message_output
 {
 public:
-    virtual ~entry_output() = default;
     virtual void sendToAgent(std::uint32_t machine, core::byte_view packet) = 0;
     virtual void sendToClient(std::uint32_t client, core::byte_view packet) = 0;
-    virtual void sendMessage(std::uint32_t machine, const peer_message &message) = 0;
 };
 
 struct entry_identity
 {
     std::uint64_t bootId = 0; // random
     std::string zone;
+    std::vector<std::uint32_t> seeds; // machines of entry instances that may know the view
 };
 
 struct entry_counters
@@ -45,20 +46,24 @@
     std::uint64_t dropped = 0;
 };
 
-class entry_balancer
+class entry_balancer final : private view_listener
 {
 public:
     // The references must outlive the object.
-    entry_balancer(entry_identity identity, const packet_codec &codec, placement_policy &policy,
-                   entry_output &output, entry_observer &observer);
+    entry_balancer(entry_identity identity, const packet_codec &codec,
+                   const document_codec &documents, placement_policy &policy, entry_output &output,
+                   entry_observer &observer);
 
     // A packet from a client, or one that an agent gave back.
     void receivePacket(core::byte_view packet, core::time_point now);
     void receiveMessage(std::uint32_t machine, const peer_message &message, core::time_point now);
 
-    // Takes a configuration; one with an older version is ignored and false is returned.
-    bool setConfiguration(const flow_configuration &configuration, core::time_point readAt);
-    void setUpstreams(const upstream_list &list, core::time_point readAt, core::time_point now);
+    // Whether the store should be read now. The reader calls begin, then finish or fail.
+    bool readDue(core::time_point now) const;
+    void beginRead(core::time_point now);
+    // configuration is empty when it did not change.
+    void finishRead(const std::optional<flow_configuration> &configuration,
+                    const upstream_list &upstreams, core::time_point readAt, core::time_point now);
 
     // Runs what is due and returns the time until the next call is needed.
     core::duration tick(core::time_point now);
@@ -66,7 +71,7 @@
     // Whether it can place new flows and was told of the open ones.
     bool ready(core::time_point now) const;
 
-    std::uint64_t configurationVersion() const { return m_configuration.version; }
+    const view_exchange &view() const { return m_view; }
     const upstream_directory &directory() const { return m_directory; }
     std::size_t knownFlows() const { return m_owners.size(); }
     std::size_t openSearches() const { return m_searches.size(); }
@@ -94,6 +99,10 @@
         packet_head lastHead;
     };
 
+    void routesChanged(const flow_configuration &configuration) override;
+    void upstreamsRead(const upstream_list &list, core::time_point readAt,
+                       core::time_point now) override;
+    std::vector<std::uint32_t> relays() const;
     const flow_route *routeOf(const core::endpoint &service) const;
     void receiveFromClient(const packet_head &head, core::byte_view packet, core::time_point now);
     void receiveReturned(const packet_head &head, core::byte_view packet, core::time_point now);
@@ -102,7 +111,7 @@
     void forward(std::uint32_t machine, core::byte_view packet);
     void probe(const flow_key &key, const flow_route &route, const packet_head &head,
                core::byte_view packet, std::uint32_t except, core::time_point now);
-    void deny(const flow_key &key, std::uint32_t machine, core::time_point now);
+    void deny(const flow_key &key, std::uint32_t machine);
     void claim(const flow_key &key, std::uint32_t machine, core::time_point now);
     void resetClient(const packet_head &head, std::string_view reason, core::time_point now);
     void concludeSearches(core::time_point now);
@@ -116,13 +125,14 @@
     entry_output &m_output;
     entry_observer &m_observer;
 
-    flow_configuration m_configuration;
+    view_exchange m_view;
+    read_schedule m_schedule;
     boost::unordered_flat_map<core::endpoint, std::size_t, core::endpoint_hash> m_routes;
-    core::time_point m_configurationReadAt {};
     upstream_directory m_directory;
     boost::unordered_flat_map<flow_key, owner, flow_key_hash> m_owners;
     boost::unordered_flat_map<flow_key, search, flow_key_hash> m_searches;
     core::time_point m_nextHello {};
+    core::time_point m_nextSeedRequest {};
     core::time_point m_nextExpiry {};
     core::time_point m_greetedAt {};
     core::byte_vector m_scratch;
--- a/packages/flow/include/oriolehold/flow/flow_agent.h
+++ b/packages/flow/include/oriolehold/flow/flow_agent.h
@@ -4,6 +4,7 @@
 #include "oriolehold/flow/load_meter.h"
 #include "oriolehold/flow/packet.h"
 #include "oriolehold/flow/peer_message.h"
+#include "oriolehold/flow/view_exchange.h"
 
 #include <boost/unordered/unordered_flat_map.hpp>
 
@@ -16,15 +17,12 @@
 namespace oriolehold::flow {
 
 // Where an agent sends.
-class agent_output
+class agent_output : public message_output
 {
 public:
-    virtual ~agent_output() = default;
     virtual void sendToUpstream(core::byte_view packet) = 0;
     virtual void sendToClient(std::uint32_t client, core::byte_view packet) = 0;
     virtual void sendToEntry(const core::endpoint &entry, core::byte_view packet) = 0;
-    // The machine is the IPv4 address of an entry instance.
-    virtual void sendMessage(std::uint32_t machine, const peer_message &message) = 0;
 };
 
 struct agent_counters
@@ -45,12 +43,12 @@
     std::string service;
 };
 
-class flow_agent
+class flow_agent final : private view_listener
 {
 public:
     // The references must outlive the object.
-    flow_agent(const agent_identity &identity, const packet_codec &codec, agent_output &output,
-               entry_observer &observer);
+    flow_agent(const agent_identity &identity, const packet_codec &codec,
+               const document_codec &documents, agent_output &output, entry_observer &observer);
 
     void receiveFromEntry(const core::endpoint &entry, core::byte_view packet,
                           core::time_point now);
@@ -67,7 +65,8 @@
     struct flow_state
     {
         core::time_point lastSeen {};
-        core::time_point requestAt {}; // epoch: no request at the upstream
+        core::time_point requestAt {};   // epoch: no request at the upstream
+        std::uint32_t requestSequence = 0; // after the last data that was counted
         bool open = false;
     };
     struct known_entry
@@ -82,8 +81,13 @@
         core::time_point claimAt {};
     };
 
+    // An agent decides nothing by the view; it holds it for entry instances.
+    void routesChanged(const flow_configuration &) override { }
+    void upstreamsRead(const upstream_list &, core::time_point, core::time_point) override { }
+
     std::uint32_t relayOf(const core::endpoint &entry);
     void receiveReturned(const packet_head &head, core::byte_view packet, core::time_point now);
+    void countRequest(flow_state &state, const packet_head &head, core::time_point now);
     void giveBack(const core::endpoint &entry, packet_tag::instruction kind,
                   core::byte_view packet);
     void opened(const flow_key &key, flow_state &state, core::time_point now);
@@ -106,6 +110,7 @@
     std::vector<core::endpoint> m_relays;
     std::deque<pending_probe> m_probes; // in the order of their times
     load_meter m_load;
+    view_exchange m_view;
     core::time_point m_nextReport {};
     core::time_point m_nextExpiry {};
     core::byte_vector m_scratch;
--- a/packages/flow/include/oriolehold/flow/flow_observer.h
+++ b/packages/flow/include/oriolehold/flow/flow_observer.h
@@ -43,6 +43,7 @@
     virtual ~entry_observer() = default;
     virtual void decided(const flow_decision &decision) = 0;
     virtual void changed(const directory_change &change) = 0;
+    virtual void routesChanged(const flow_configuration &configuration) = 0;
 };
 
 } // namespace oriolehold::flow
--- a/packages/flow/include/oriolehold/flow/peer_message.h
+++ b/packages/flow/include/oriolehold/flow/peer_message.h
@@ -10,7 +10,8 @@
 
 namespace oriolehold::flow {
 
-// What a process last read or heard of the store.
+// What a process holds of the store's content, and how old it is. Entry instances tell a few agents
+// after a read; those tell all entry instances.
 struct view_news
 {
     std::uint64_t configurationVersion = 0;
@@ -21,6 +22,30 @@
     bool operator==(const view_news &) const = default;
 };
 
+// Asks for documents; any process may ask any other.
+struct view_request
+{
+    bool configuration = false;
+    bool upstreams = false;
+
+    bool operator==(const view_request &) const = default;
+};
+
+enum class document_kind : std::uint8_t { configuration, upstreams };
+
+// One part of an encoded document.
+struct view_page
+{
+    document_kind kind = document_kind::configuration;
+    std::uint64_t id = 0; // version of a configuration, digest of a list of upstreams
+    core::duration age {};
+    std::uint16_t index = 0;
+    std::uint16_t count = 0;
+    core::byte_vector bytes;
+
+    bool operator==(const view_page &) const = default;
+};
+
 // From an entry instance to agents, periodically.
 struct entry_hello
 {
@@ -58,7 +83,16 @@
     bool operator==(const flow_denial &) const = default;
 };
 
-using peer_message = std::variant<entry_hello, load_report, flow_claim, flow_denial>;
+using peer_message = std::variant<entry_hello, load_report, flow_claim, flow_denial, view_news,
+                                  view_request, view_page>;
+
+// Sends messages to other processes. The machine is an IPv4 address.
+class message_output
+{
+public:
+    virtual ~message_output() = default;
+    virtual void sendMessage(std::uint32_t machine, const peer_message &message) = 0;
+};
 
 // Most flows in one claim; keeps the datagram below 1,300 bytes.
 inline constexpr std::size_t maxClaimedFlows = 100;
--- /dev/null
+++ b/packages/flow/include/oriolehold/flow/read_schedule.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "oriolehold/core/types.h"
+
+namespace oriolehold::flow {
+
+// When an entry instance reads the store. Each waits until the view is older than the interval plus
+// an offset of its own, so the one with the least offset reads and tells the others; when its news
+// stop, the next one reads.
+class read_schedule
+{
+public:
+    // Changes must be in force within 3 s of their publication at the shortest. A read and two
+    // missed turns fit into it.
+    static constexpr std::chrono::milliseconds interval { 1000 };
+    // Upper end of the offsets.
+    static constexpr std::chrono::milliseconds maxOffset { 600 };
+    // After a read that gave nothing, while there is a view and while there is none.
+    static constexpr std::chrono::milliseconds retryInterval { 1000 };
+    static constexpr std::chrono::milliseconds firstRetryInterval { 400 };
+
+    // number is random and decides the offset.
+    explicit read_schedule(std::uint64_t number);
+
+    // readAt is the time of the read that the view rests on; complete tells whether there is one.
+    bool due(core::time_point now, core::time_point readAt, bool complete) const;
+    // Time of the next turn if nothing changes.
+    core::time_point next(core::time_point readAt, bool complete) const;
+    void begin(core::time_point now) { m_begunAt = now; }
+
+private:
+    std::chrono::milliseconds m_offset;
+    core::time_point m_begunAt {};
+};
+
+} // namespace oriolehold::flow
--- /dev/null
+++ b/packages/flow/include/oriolehold/flow/view_exchange.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "oriolehold/flow/peer_message.h"
+#include "oriolehold/flow/routing_view.h"
+
+#include <optional>
+
+// Keeps the newest known content of the store and shares it with other processes, so that few of
+// them need to read it.
+
+namespace oriolehold::flow {
+
+// Bytes of documents on their way between processes.
+class document_codec
+{
+public:
+    virtual ~document_codec() = default;
+    virtual core::byte_vector encode(const flow_configuration &configuration) const = 0;
+    virtual core::byte_vector encode(const upstream_list &list) const = 0;
+    // Empty optionals when the bytes are malformed.
+    virtual std::optional<flow_configuration>
+    decodeConfiguration(core::byte_view bytes) const = 0;
+    virtual std::optional<upstream_list> decodeUpstreams(core::byte_view bytes) const = 0;
+};
+
+// Learns what is now believed. readAt is the time of the read that the content rests on.
+class view_listener
+{
+public:
+    virtual ~view_listener() = default;
+    virtual void routesChanged(const flow_configuration &configuration) = 0;
+    // Called for each list that is newer, also when its content is the same.
+    virtual void upstreamsRead(const upstream_list &list, core::time_point readAt,
+                               core::time_point now) = 0;
+};
+
+class view_exchange
+{
+public:
+    // Payload of one page, in bytes; the datagram stays below 1,300 bytes.
+    static constexpr std::size_t pageSize = 1100;
+
+    // The references must outlive the object.
+    view_exchange(const document_codec &codec, message_output &output, view_listener &listener);
+
+    // Content that this process read itself.
+    void readConfiguration(const flow_configuration &configuration);
+    void readUpstreams(const upstream_list &list, core::time_point readAt, core::time_point now);
+
+    // Handles news, requests and pages; other messages are ignored. Returns whether the view became
+    // newer.
+    bool receive(std::uint32_t machine, const peer_message &message, core::time_point now);
+
+    view_news news(core::time_point now) const;
+    bool complete() const { return m_configuration.version != 0 && m_digest != 0; }
+    // Time of the read that the list of upstreams rests on; epoch before the first.
+    core::time_point readAt() const { return m_readAt; }
+    const flow_configuration &configuration() const { return m_configuration; }
+
+private:
+    struct assembly
+    {
+        std::uint64_t id = 0;
+        std::vector<core::byte_vector> pages;
+        std::size_t missing = 0;
+    };
+
+    bool receiveNews(std::uint32_t machine, const view_news &news, core::time_point now);
+    bool receivePage(const view_page &page, core::time_point now);
+    bool setUpstreams(const upstream_list &list, std::uint64_t digest, core::time_point readAt,
+                      core::time_point now);
+    void sendDocument(std::uint32_t machine, document_kind kind, std::uint64_t id,
+                      core::byte_view bytes, core::time_point now);
+    static std::optional<core::byte_vector> assemble(assembly &state, const view_page &page);
+    std::uint64_t digestOf(const upstream_list &list) const;
+
+    const document_codec &m_codec;
+    message_output &m_output;
+    view_listener &m_listener;
+    flow_configuration m_configuration;
+    upstream_list m_upstreams;
+    std::uint64_t m_digest = 0; // of m_upstreams; 0: none yet
+    core::time_point m_readAt {};
+    assembly m_configurationPages;
+    assembly m_upstreamPages;
+};
+
+} // namespace oriolehold::flow
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -24,6 +24,12 @@
 // Probes of one packet. Small services are asked as a whole; of large ones further packets ask the
 // rest.
 constexpr std::size_t probesPerPacket = 12;
+// Agents that pass the news of a read on. Two may be lost at a time.
+constexpr std::size_t relayCount = 3;
+// A restarted instance that the store turns away asks its seeds so often.
+constexpr core::duration seedInterval = 200ms;
+// News are aged by their time on the way.
+constexpr core::duration newsDelay = 100ms;
 
 std::uint32_t secondsOf(core::time_point now)
 {
@@ -33,16 +39,16 @@
 } // namespace
 
 entry_balancer::entry_balancer(entry_identity identity, const packet_codec &codec,
-                               placement_policy &policy, entry_output &output,
-                               entry_observer &observer)
+                               const document_codec &documents, placement_policy &policy,
+                               entry_output &output, entry_observer &observer)
     : m_identity(std::move(identity)), m_codec(codec), m_policy(policy), m_output(output),
-      m_observer(observer)
+      m_observer(observer), m_view(documents, output, *this), m_schedule(m_identity.bootId)
 { }
 
 const flow_route *entry_balancer::routeOf(const core::endpoint &service) const
 {
     const auto found = m_routes.find(service);
-    return found == m_routes.end() ? nullptr : &m_configuration.routes[found->second];
+    return found == m_routes.end() ? nullptr : &m_view.configuration().routes[found->second];
 }
 
 void entry_balancer::receivePacket(core::byte_view packet, core::time_point now)
@@ -72,7 +78,7 @@
     }
     const flow_route *route = routeOf(key.service);
     if (route == nullptr) {
-        if (head.isOpening() && m_configuration.version != 0)
+        if (head.isOpening() && m_view.configuration().version != 0)
             resetClient(head, "no route", now);
         else
             ++m_counters.dropped;
@@ -124,7 +130,7 @@
                          .flow = key,
                          .machine = item.machine,
                          .upstream = chosen->record.id,
-                         .configurationVersion = m_configuration.version,
+                         .configurationVersion = m_view.configuration().version,
                          .viewAge = now - m_directory.readAt(),
                          .reportAge = now - chosen->reportedAt,
                          .running = chosen->report.running,
@@ -183,7 +189,7 @@
                              .flow = key,
                              .machine = except,
                              .reason = except == 0 ? "unknown flow" : "the owner denies the flow",
-                             .configurationVersion = m_configuration.version,
+                             .configurationVersion = m_view.configuration().version,
                              .viewAge = now - m_directory.readAt() });
     }
     for (const std::uint32_t machine : m_directory.owners(route, m_identity.zone)) {
@@ -217,7 +223,9 @@
         std::ranges::for_each(claimed->flows,
                               [&](const flow_key &key) { claim(key, machine, now); });
     else if (const auto *denied = std::get_if<flow_denial>(&message))
-        deny(denied->flow, machine, now);
+        deny(denied->flow, machine);
+    else
+        m_view.receive(machine, message, now);
 }
 
 void entry_balancer::claim(const flow_key &key, std::uint32_t machine, core::time_point now)
@@ -236,16 +244,15 @@
               .flow = key,
               .machine = machine,
               .upstream = known == nullptr ? std::string_view() : known->record.id,
-              .configurationVersion = m_configuration.version,
+              .configurationVersion = m_view.configuration().version,
               .viewAge = now - m_directory.readAt(),
               .elapsed = now - found->second.startedAt,
               .candidates = static_cast<std::uint32_t>(found->second.candidates.size()) });
     m_searches.erase(found);
 }
 
-void entry_balancer::deny(const flow_key &key, std::uint32_t machine, core::time_point now)
+void entry_balancer::deny(const flow_key &key, std::uint32_t machine)
 {
-    (void)now;
     const auto found = m_searches.find(key);
     if (found == m_searches.end())
         return;
@@ -265,7 +272,7 @@
             return true;
         // The flow is gone when all who may hold it deny it, by a list that is younger than the
         // search: an upstream that only others know of yet would be in it.
-        if (m_directory.readAt() <= state.startedAt)
+        if (m_directory.readAt() <= state.startedAt + newsDelay)
             return false;
         const auto owners = m_directory.owners(*route, m_identity.zone);
         const bool gone = std::ranges::all_of(owners, [&](std::uint32_t machine) {
@@ -287,27 +294,22 @@
     m_observer.decided({ .kind = decision_kind::reset,
                          .flow = keyOfClientPacket(head),
                          .reason = reason,
-                         .configurationVersion = m_configuration.version,
+                         .configurationVersion = m_view.configuration().version,
                          .viewAge = now - m_directory.readAt() });
 }
 
-bool entry_balancer::setConfiguration(const flow_configuration &configuration,
-                                      core::time_point readAt)
+void entry_balancer::routesChanged(const flow_configuration &configuration)
 {
-    if (configuration.version < m_configuration.version)
-        return false;
-    m_configurationReadAt = std::max(m_configurationReadAt, readAt);
-    m_configuration = configuration;
     m_routes.clear();
-    for (std::size_t i = 0; i < m_configuration.routes.size(); ++i) {
-        if (!m_configuration.routes[i].services.empty())
-            m_routes.emplace(m_configuration.routes[i].address, i);
+    for (std::size_t i = 0; i < configuration.routes.size(); ++i) {
+        if (!configuration.routes[i].services.empty())
+            m_routes.emplace(configuration.routes[i].address, i);
     }
-    return true;
+    m_observer.routesChanged(configuration);
 }
 
-void entry_balancer::setUpstreams(const upstream_list &list, core::time_point readAt,
-                                  core::time_point now)
+void entry_balancer::upstreamsRead(const upstream_list &list, core::time_point readAt,
+                                   core::time_point now)
 {
     const bool first = m_directory.readAt() == core::time_point {};
     m_directory.update(list, readAt, now,
@@ -316,6 +318,35 @@
         greetAgents(now);
 }
 
+bool entry_balancer::readDue(core::time_point now) const
+{
+    return m_schedule.due(now, m_view.readAt(), m_view.complete());
+}
+
+void entry_balancer::beginRead(core::time_point now)
+{
+    m_schedule.begin(now);
+}
+
+void entry_balancer::finishRead(const std::optional<flow_configuration> &configuration,
+                                const upstream_list &upstreams, core::time_point readAt,
+                                core::time_point now)
+{
+    if (configuration)
+        m_view.readConfiguration(*configuration);
+    m_view.readUpstreams(upstreams, readAt, now);
+    for (const std::uint32_t machine : relays())
+        m_output.sendMessage(machine, m_view.news(now));
+}
+
+std::vector<std::uint32_t> entry_balancer::relays() const
+{
+    std::vector<std::uint32_t> machines = m_directory.machines();
+    std::ranges::sort(machines);
+    machines.resize(std::min(machines.size(), relayCount));
+    return machines;
+}
+
 void entry_balancer::greetAgents(core::time_point now)
 {
     const entry_hello hello { m_identity.bootId, m_identity.zone };
@@ -344,13 +375,19 @@
         expireOwners(now);
     if (!m_searches.empty())
         concludeSearches(now);
-    const core::time_point next = std::min(m_nextHello, m_nextExpiry);
+    if (!m_view.complete() && now >= m_nextSeedRequest) {
+        m_nextSeedRequest = now + seedInterval;
+        for (const std::uint32_t machine : m_identity.seeds)
+            m_output.sendMessage(machine, view_request { true, true });
+    }
+    core::time_point next = std::min(m_nextHello, m_nextExpiry);
+    next = std::min(next, m_schedule.next(m_view.readAt(), m_view.complete()));
     return std::max(next - now, core::duration::zero());
 }
 
 bool entry_balancer::ready(core::time_point now) const
 {
-    return m_configuration.version != 0 && m_greetedAt != core::time_point {}
+    return m_view.configuration().version != 0 && m_greetedAt != core::time_point {}
     && now - m_greetedAt >= greetingTime;
 }
 
--- a/packages/flow/src/flow_agent.cpp
+++ b/packages/flow/src/flow_agent.cpp
@@ -25,9 +25,10 @@
 } // namespace
 
 flow_agent::flow_agent(const agent_identity &identity, const packet_codec &codec,
-                       agent_output &output, entry_observer &observer)
+                       const document_codec &documents, agent_output &output,
+                       entry_observer &observer)
     : m_bootId(identity.bootId), m_serviceDigest(serviceDigest(identity.service)), m_codec(codec),
-      m_output(output), m_observer(observer)
+      m_output(output), m_observer(observer), m_view(documents, output, *this)
 { }
 
 std::uint32_t flow_agent::relayOf(const core::endpoint &entry)
@@ -68,20 +69,36 @@
     if (known != m_flows.end()) {
         flow_state &state = known->second;
         state.lastSeen = now;
-        if (head->payloadSize > 0 && state.requestAt == core::time_point {}) {
-            state.requestAt = now;
-            m_load.begin(now);
-        }
+        countRequest(state, *head, now);
         if (isProbe && state.open)
             m_output.sendMessage(entry.address, flow_claim { { key } });
     } else if (isProbe) {
         m_probes.push_back({ key, now + probeTime });
-        m_flows[key].lastSeen = now;
+        flow_state &state = m_flows[key];
+        state.lastSeen = now;
+        countRequest(state, *head, now);
     }
     m_codec.copyTagged(packet, { head->tag.kind, relayOf(entry) }, m_scratch);
     m_output.sendToUpstream(m_scratch);
 }
 
+void flow_agent::countRequest(flow_state &state, const packet_head &head, core::time_point now)
+{
+    if (head.payloadSize == 0)
+        return;
+    const std::uint32_t end = head.sequence + head.payloadSize;
+    // Sequence numbers wrap around. A retransmission of a request that was answered is no request.
+    const bool isNew = state.requestSequence == 0
+            || static_cast<std::int32_t>(end - state.requestSequence) > 0;
+    if (!isNew)
+        return;
+    state.requestSequence = end;
+    if (state.requestAt != core::time_point {})
+        return;
+    state.requestAt = now;
+    m_load.begin(now);
+}
+
 void flow_agent::receiveFromUpstream(core::byte_view packet, core::time_point now)
 {
     ++m_counters.fromUpstream;
@@ -100,7 +117,7 @@
     state.lastSeen = now;
     if (!head->opens && !head->resets && !state.open)
         opened(key, state, now);
-    if ((head->payloadSize > 0 || head->resets) && state.requestAt != core::time_point {}) {
+    if ((head->payloadSize > 0 || head->resets || head->finishes) && state.requestAt != core::time_point {}) {
         m_load.end(now - state.requestAt, now);
         state.requestAt = {};
     }
@@ -183,8 +200,15 @@
                                 core::time_point now)
 {
     const auto *hello = std::get_if<entry_hello>(&message);
-    if (hello == nullptr)
+    if (hello == nullptr) {
+        if (!m_view.receive(machine, message, now))
+            return;
+        for (const auto &[entry, details] : m_entries) {
+            if (entry != machine)
+                m_output.sendMessage(entry, m_view.news(now));
+        }
         return;
+    }
     known_entry &entry = m_entries[machine];
     const bool restarted = entry.bootId != hello->bootId;
     entry = { hello->bootId, hello->zone, now };
--- /dev/null
+++ b/packages/flow/src/view_exchange.cpp
@@ -0,0 +1,155 @@
+#include "oriolehold/flow/view_exchange.h"
+
+#include <algorithm>
+
+namespace oriolehold::flow {
+
+namespace {
+
+// A larger document is not assembled; 4 MB hold 60,000 upstreams.
+constexpr std::uint16_t maxPages = 4096;
+
+// FNV-1a, 64 bits.
+constexpr std::uint64_t fnvOffset = 0xcbf29ce484222325ULL;
+constexpr std::uint64_t fnvPrime = 0x100000001b3ULL;
+
+} // namespace
+
+view_exchange::view_exchange(const document_codec &codec, message_output &output,
+                             view_listener &listener)
+    : m_codec(codec), m_output(output), m_listener(listener)
+{ }
+
+std::uint64_t view_exchange::digestOf(const upstream_list &list) const
+{
+    upstream_list content = list;
+    content.revision = 0;
+    std::uint64_t hash = fnvOffset;
+    for (upstream_record &record : content.upstreams)
+        record.warmUpLeft = {}; // it counts down in every read; the first one is kept
+    for (const std::uint8_t byte : m_codec.encode(content))
+        hash = (hash ^ byte) * fnvPrime;
+    return std::max<std::uint64_t>(hash, 1);
+}
+
+void view_exchange::readConfiguration(const flow_configuration &configuration)
+{
+    if (configuration.version <= m_configuration.version)
+        return;
+    m_configuration = configuration;
+    m_listener.routesChanged(m_configuration);
+}
+
+void view_exchange::readUpstreams(const upstream_list &list, core::time_point readAt,
+                                  core::time_point now)
+{
+    setUpstreams(list, digestOf(list), readAt, now);
+}
+
+bool view_exchange::setUpstreams(const upstream_list &list, std::uint64_t digest,
+                                 core::time_point readAt, core::time_point now)
+{
+    if (list.revision < m_upstreams.revision || readAt <= m_readAt)
+        return false;
+    m_upstreams = list;
+    m_digest = digest;
+    m_readAt = readAt;
+    m_listener.upstreamsRead(m_upstreams, readAt, now);
+    return true;
+}
+
+view_news view_exchange::news(core::time_point now) const
+{
+    return { m_configuration.version, m_upstreams.revision, m_digest, now - m_readAt };
+}
+
+bool view_exchange::receive(std::uint32_t machine, const peer_message &message,
+                            core::time_point now)
+{
+    if (const auto *heard = std::get_if<view_news>(&message))
+        return receiveNews(machine, *heard, now);
+    if (const auto *page = std::get_if<view_page>(&message))
+        return receivePage(*page, now);
+    if (const auto *request = std::get_if<view_request>(&message)) {
+        if (request->configuration && m_configuration.version != 0)
+            sendDocument(machine, document_kind::configuration, m_configuration.version,
+                         m_codec.encode(m_configuration), now);
+        if (request->upstreams && m_digest != 0)
+            sendDocument(machine, document_kind::upstreams, m_digest, m_codec.encode(m_upstreams),
+                         now);
+    }
+    return false;
+}
+
+bool view_exchange::receiveNews(std::uint32_t machine, const view_news &news, core::time_point now)
+{
+    const bool newerList = news.upstreamRevision >= m_upstreams.revision && news.upstreamDigest != 0
+            && now - news.age > m_readAt;
+    const view_request request { news.configurationVersion > m_configuration.version,
+                                 newerList && news.upstreamDigest != m_digest };
+    if (request.configuration || request.upstreams)
+        m_output.sendMessage(machine, request);
+    if (!newerList || request.upstreams)
+        return false;
+    // The same content, confirmed by a newer read.
+    m_upstreams.revision = news.upstreamRevision;
+    m_readAt = now - news.age;
+    m_listener.upstreamsRead(m_upstreams, m_readAt, now);
+    return true;
+}
+
+bool view_exchange::receivePage(const view_page &page, core::time_point now)
+{
+    if (page.count == 0 || page.count > maxPages || page.index >= page.count)
+        return false;
+    if (page.kind == document_kind::configuration) {
+        if (page.id <= m_configuration.version)
+            return false;
+        const auto bytes = assemble(m_configurationPages, page);
+        const auto configuration = bytes ? m_codec.decodeConfiguration(*bytes) : std::nullopt;
+        if (!configuration || configuration->version <= m_configuration.version)
+            return false;
+        readConfiguration(*configuration);
+        return true;
+    }
+    const auto bytes = assemble(m_upstreamPages, page);
+    const auto list = bytes ? m_codec.decodeUpstreams(*bytes) : std::nullopt;
+    return list && setUpstreams(*list, page.id, now - page.age, now);
+}
+
+std::optional<core::byte_vector> view_exchange::assemble(assembly &state, const view_page &page)
+{
+    if (state.id != page.id || state.pages.size() != page.count) {
+        state.id = page.id;
+        state.pages.assign(page.count, {});
+        state.missing = page.count;
+    }
+    core::byte_vector &slot = state.pages[page.index];
+    if (slot.empty() && !page.bytes.empty()) {
+        slot = page.bytes;
+        --state.missing;
+    }
+    if (state.missing > 0)
+        return std::nullopt;
+    core::byte_vector bytes;
+    for (const core::byte_vector &part : state.pages)
+        bytes.insert(bytes.end(), part.begin(), part.end());
+    state = {};
+    return bytes;
+}
+
+void view_exchange::sendDocument(std::uint32_t machine, document_kind kind, std::uint64_t id,
+                                 core::byte_view bytes, core::time_point now)
+{
+    const std::size_t count = (bytes.size() + pageSize - 1) / pageSize;
+    for (std::size_t i = 0; i < count; ++i) {
+        const core::byte_view part =
+                bytes.subspan(i * pageSize, std::min(pageSize, bytes.size() - i * pageSize));
+        m_output.sendMessage(machine,
+                             view_page { kind, id, now - m_readAt, static_cast<std::uint16_t>(i),
+                                         static_cast<std::uint16_t>(count),
+                                         core::byte_vector(part.begin(), part.end()) });
+    }
+}
+
+} // namespace oriolehold::flow
--- a/packages/runtime/include/oriolehold/runtime/log_events.h
+++ b/packages/runtime/include/oriolehold/runtime/log_events.h
@@ -37,6 +37,7 @@
     platformReachable = 2008,
     peerDocument = 2009,
     notInDocument = 2010,
+    settingsReloaded = 2011,
 
     // 3xxx: liveness
     agentSuspect = 3001,
--- a/packages/runtime/include/oriolehold/runtime/settings.h
+++ b/packages/runtime/include/oriolehold/runtime/settings.h
@@ -34,6 +34,8 @@
     std::string level = "info";    // "debug", "info", "warning" or "error"
     std::string format = "text";   // or "json"
     std::string output = "stderr"; // or "stdout"
+
+    bool operator==(const log_settings &) const = default;
 };
 
 struct entry_settings
@@ -76,11 +78,13 @@
 // Settings of both daemons on the flow path.
 struct flow_settings
 {
+    std::string file; // that they were read from
     std::string instance;
     std::string zone;
     core::endpoint packets;    // packets of clients and of other processes
     std::uint16_t peerPort {}; // messages between processes, the same on all instances
     core::endpoint store;      // published routes and upstreams; entry instances only
+    std::vector<core::endpoint> seeds; // other entry instances; only their addresses count
     core::endpoint admin;
     std::string readyPath = "/readyz";
     std::chrono::seconds drainLimit { 5 };
@@ -89,6 +93,8 @@
     core::endpoint upstream;        // takes packets
     core::endpoint upstreamPackets; // the upstream sends its packets there
     log_settings log;
+
+    bool operator==(const flow_settings &) const = default;
 };
 
 // Each fails with a settings_error and throws nothing. The names of policies and schedulers are
--- a/packages/runtime/src/log_events.cpp
+++ b/packages/runtime/src/log_events.cpp
@@ -58,6 +58,8 @@
           "A peer gave the document, because the platform is silent." },
         { log_event::notInDocument, "not-in-document", log_level::warning, 0ms,
           "The document does not name this instance." },
+        { log_event::settingsReloaded, "settings-reloaded", log_level::info, 0ms,
+          "The settings file was read again; what cannot change while running waits for a start." },
         { log_event::agentSuspect, "agent-suspect", log_level::warning, 0ms,
           "An agent is silent; it gets no new flows." },
         { log_event::agentRecovered, "agent-recovered", log_level::info, 0ms,
--- a/packages/runtime/src/settings.cpp
+++ b/packages/runtime/src/settings.cpp
@@ -54,12 +54,13 @@
     return result;
 }
 
-std::vector<core::endpoint> readPeers(json_object &root, error_collector &errors)
+std::vector<core::endpoint> readAddresses(json_object &root, std::string_view name,
+                                          error_collector &errors)
 {
     std::vector<core::endpoint> result;
-    if (!root.has("peers"))
+    if (!root.has(name))
         return result;
-    root.elements("peers", 0, maxPeers,
+    root.elements(name, 0, maxPeers,
                   [&](const nlohmann::json &element, const std::string &path) {
                       const auto address = element.is_string()
                               ? parseEndpoint(element.get_ref<const std::string &>())
@@ -98,7 +99,7 @@
     settings.admin = root.address("admin");
     settings.drainKey = root.textOr("drain_key", "", isDrainKey,
                                     "8 to 256 visible ASCII characters, or an empty text");
-    settings.peers = readPeers(root, errors);
+    settings.peers = readAddresses(root, "peers", errors);
     settings.drainLimit = std::chrono::seconds { root.integerOr(
             "drain_limit_s", static_cast<std::uint64_t>(settings.drainLimit.count()), 1,
             maxDrainLimit) };
@@ -161,10 +162,11 @@
     return settings;
 }
 
-flow_settings readFlowEntry(json_object &root, error_collector &)
+flow_settings readFlowEntry(json_object &root, error_collector &errors)
 {
     flow_settings settings = readFlow(root);
     settings.store = root.address("store");
+    settings.seeds = readAddresses(root, "seeds", errors);
     return settings;
 }
 
@@ -230,13 +232,17 @@
 boost::leaf::result<flow_settings> loadFlowEntrySettings(const std::string &file)
 {
     BOOST_LEAF_AUTO(text, readFile(file));
-    return parseFlowEntrySettings(text);
+    BOOST_LEAF_AUTO(settings, parseFlowEntrySettings(text));
+    settings.file = file;
+    return settings;
 }
 
 boost::leaf::result<flow_settings> loadFlowAgentSettings(const std::string &file)
 {
     BOOST_LEAF_AUTO(text, readFile(file));
-    return parseFlowAgentSettings(text);
+    BOOST_LEAF_AUTO(settings, parseFlowAgentSettings(text));
+    settings.file = file;
+    return settings;
 }
 
 boost::leaf::result<entry_settings> loadEntrySettings(const std::string &file)
--- a/packages/wire/include/oriolehold/wire/flow_datagram.h
+++ b/packages/wire/include/oriolehold/wire/flow_datagram.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "oriolehold/flow/peer_message.h"
+#include "oriolehold/flow/view_exchange.h"
 
 #include <optional>
 
@@ -16,4 +17,15 @@
 // An empty optional when the bytes are malformed or oversized. Throws nothing.
 std::optional<flow::peer_message> decodeFlowMessage(core::byte_view datagram);
 
+// Documents in the same encoding.
+class flow_document_codec final : public flow::document_codec
+{
+public:
+    core::byte_vector encode(const flow::flow_configuration &configuration) const override;
+    core::byte_vector encode(const flow::upstream_list &list) const override;
+    std::optional<flow::flow_configuration>
+    decodeConfiguration(core::byte_view bytes) const override;
+    std::optional<flow::upstream_list> decodeUpstreams(core::byte_view bytes) const override;
+};
+
 } // namespace oriolehold::wire
--- a/packages/wire/src/flow_datagram.cpp
+++ b/packages/wire/src/flow_datagram.cpp
@@ -13,6 +13,7 @@
 using wire::internal::bounded_list;
 using wire::internal::bytes;
 using wire::internal::microseconds;
+using wire::internal::milliseconds;
 
 template<typename Archive>
 void serialize(Archive &archive, flow_key &value)
@@ -45,6 +46,58 @@
     archive(value.flow);
 }
 
+template<typename Archive>
+void serialize(Archive &archive, view_news &value)
+{
+    archive(value.configurationVersion, value.upstreamRevision, value.upstreamDigest,
+            microseconds { value.age });
+}
+
+template<typename Archive>
+void serialize(Archive &archive, view_request &value)
+{
+    archive(value.configuration, value.upstreams);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, view_page &value)
+{
+    archive(value.kind, value.id, microseconds { value.age }, value.index, value.count,
+            bytes(value.bytes));
+}
+
+template<typename Archive>
+void serialize(Archive &archive, weighted_service &value)
+{
+    archive(bytes(value.name), value.weight);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, flow_route &value)
+{
+    archive(value.address, bounded_list<weighted_service> { value.services });
+}
+
+template<typename Archive>
+void serialize(Archive &archive, flow_configuration &value)
+{
+    archive(value.version, bounded_list<flow_route> { value.routes },
+            milliseconds { value.idleTimeout });
+}
+
+template<typename Archive>
+void serialize(Archive &archive, upstream_record &value)
+{
+    archive(bytes(value.id), bytes(value.service), value.address, bytes(value.zone), value.slots,
+            value.phase, milliseconds { value.warmUpLeft }, value.incarnation);
+}
+
+template<typename Archive>
+void serialize(Archive &archive, upstream_list &value)
+{
+    archive(value.revision, bounded_list<upstream_record> { value.upstreams });
+}
+
 } // namespace flow
 
 namespace wire {
@@ -56,25 +109,21 @@
 thread_local internal::buffered_stream<std::ostream, internal::append_buffer> output;
 thread_local internal::buffered_stream<std::istream, internal::view_buffer> input;
 
-} // namespace
-
-void encodeFlowMessage(const flow::peer_message &message, core::byte_vector &datagram)
+template<typename Value>
+void append(const Value &value, core::byte_vector &bytes)
 {
-    datagram.clear();
-    datagram.push_back(protocolVersion);
-    output.buffer.setTarget(datagram);
+    output.buffer.setTarget(bytes);
     cereal::PortableBinaryOutputArchive archive(output.stream);
-    archive(message);
+    archive(value);
 }
 
-std::optional<flow::peer_message> decodeFlowMessage(core::byte_view datagram)
+template<typename Value>
+std::optional<Value> decodeAll(core::byte_view bytes)
 {
-    if (datagram.size() < 2 || datagram.size() > maxFlowDatagram || datagram[0] != protocolVersion)
-        return std::nullopt;
     try {
-        input.buffer.setView(datagram.subspan(1));
+        input.buffer.setView(bytes);
         cereal::PortableBinaryInputArchive archive(input.stream);
-        flow::peer_message value;
+        Value value;
         archive(value);
         return value;
     } catch (const std::exception &) {
@@ -83,6 +132,51 @@
     }
 }
 
+template<typename Document>
+core::byte_vector encodeDocument(const Document &document)
+{
+    core::byte_vector bytes;
+    append(document, bytes);
+    return bytes;
+}
+
+} // namespace
+
+void encodeFlowMessage(const flow::peer_message &message, core::byte_vector &datagram)
+{
+    datagram.clear();
+    datagram.push_back(protocolVersion);
+    append(message, datagram);
+}
+
+std::optional<flow::peer_message> decodeFlowMessage(core::byte_view datagram)
+{
+    if (datagram.size() < 2 || datagram.size() > maxFlowDatagram || datagram[0] != protocolVersion)
+        return std::nullopt;
+    return decodeAll<flow::peer_message>(datagram.subspan(1));
+}
+
+core::byte_vector flow_document_codec::encode(const flow::flow_configuration &configuration) const
+{
+    return encodeDocument(configuration);
+}
+
+core::byte_vector flow_document_codec::encode(const flow::upstream_list &list) const
+{
+    return encodeDocument(list);
+}
+
+std::optional<flow::flow_configuration>
+flow_document_codec::decodeConfiguration(core::byte_view bytes) const
+{
+    return decodeAll<flow::flow_configuration>(bytes);
+}
+
+std::optional<flow::upstream_list> flow_document_codec::decodeUpstreams(core::byte_view bytes) const
+{
+    return decodeAll<flow::upstream_list>(bytes);
+}
+
 } // namespace wire
 
 } // namespace oriolehold
--- a/packages/wire/src/internal/serialization.h
+++ b/packages/wire/src/internal/serialization.h
@@ -66,10 +66,11 @@
     return { container };
 }
 
-// Serialization of a duration as microseconds.
-struct microseconds
+// Serialization of a duration as its count.
+template<typename Duration>
+struct duration_count
 {
-    core::duration &value;
+    Duration &value;
 
     template<typename Archive>
     void save(Archive &archive) const
@@ -82,11 +83,15 @@
     {
         std::int64_t count = 0;
         archive(count);
-        value = core::duration { count };
+        value = Duration { count };
     }
 };
 
-// Serialization of a sequence with a 16-bit length prefix.
+using microseconds = duration_count<core::duration>;
+using milliseconds = duration_count<std::chrono::milliseconds>;
+
+// Serialization of a sequence with a 16-bit length prefix. Each element takes at least one byte, so
+// a corrupt prefix ends with the input.
 template<typename Item>
 struct bounded_list
 {
@@ -95,7 +100,7 @@
     template<typename Archive>
     void save(Archive &archive) const
     {
-        saveSize(archive, items.size());
+        archive(static_cast<std::uint16_t>(items.size()));
         for (Item &item : items)
             archive(item);
     }
@@ -103,9 +108,11 @@
     template<typename Archive>
     void load(Archive &archive)
     {
-        items.resize(loadSize(archive));
-        for (Item &item : items)
-            archive(item);
+        std::uint16_t size = 0;
+        archive(size);
+        items.clear();
+        while (items.size() < size)
+            archive(items.emplace_back());
     }
 };
 
