Give unanswered opening packets to another upstream; read the list at once for a search

Causes: a crashed upstream got new flows until its entry lapsed, three heartbeats later; a client of a flow that no upstream holds waited up to 1.1 s for its reset, because a reset needs a list that is younger than the search.

--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -135,6 +135,7 @@
     core::time_point m_nextSeedRequest {};
     core::time_point m_nextExpiry {};
     core::time_point m_greetedAt {};
+    bool m_searchNeedsRead = false; // a search waits for a newer list
     core::byte_vector m_scratch;
     entry_counters m_counters;
 };
--- a/packages/flow/include/oriolehold/flow/flow_agent.h
+++ b/packages/flow/include/oriolehold/flow/flow_agent.h
@@ -33,6 +33,7 @@
     std::uint64_t otherService = 0; // packets for a former user of the address
     std::uint64_t opened = 0;
     std::uint64_t refused = 0;
+    std::uint64_t unanswered = 0;
     std::uint64_t absent = 0;
     std::uint64_t claims = 0;
 };
@@ -68,6 +69,7 @@
         core::time_point requestAt {};   // epoch: no request at the upstream
         std::uint32_t requestSequence = 0; // after the last data that was counted
         bool open = false;
+        bool answered = false; // the upstream has sent a packet of the flow
     };
     struct known_entry
     {
@@ -80,6 +82,14 @@
         flow_key key;
         core::time_point claimAt {};
     };
+    // An opening packet that the upstream has not answered yet.
+    struct pending_opening
+    {
+        flow_key key;
+        core::endpoint entry;
+        core::time_point giveBackAt {};
+        core::byte_vector packet;
+    };
 
     // An agent decides nothing by the view; it holds it for entry instances.
     void routesChanged(const flow_configuration &) override { }
@@ -95,6 +105,7 @@
     void announce(const flow_claim &claim);
     void sendAllFlows(std::uint32_t machine);
     void claimProbed(core::time_point now);
+    void giveBackUnanswered(core::time_point now);
     void expire(core::time_point now);
     void reportLoad(core::time_point now);
 
@@ -108,7 +119,9 @@
     std::size_t m_openFlows = 0;
     boost::unordered_flat_map<std::uint32_t, known_entry> m_entries; // by machine address
     std::vector<core::endpoint> m_relays;
-    std::deque<pending_probe> m_probes; // in the order of their times
+    std::deque<pending_probe> m_probes;     // in the order of their times
+    std::deque<pending_opening> m_openings; // in the order of their times
+    std::uint32_t m_unanswered = 0;         // opening packets since the upstream's last packet
     load_meter m_load;
     view_exchange m_view;
     core::time_point m_nextReport {};
--- a/packages/flow/include/oriolehold/flow/peer_message.h
+++ b/packages/flow/include/oriolehold/flow/peer_message.h
@@ -63,6 +63,7 @@
     std::uint32_t meanRunning = 0; // thousandths, mean over the last second
     std::uint32_t openFlows = 0;
     core::duration meanServiceTime {}; // request to first part of the answer
+    bool responsive = true;            // the upstream answers opening packets
 
     bool operator==(const load_report &) const = default;
 };
--- a/packages/flow/include/oriolehold/flow/read_schedule.h
+++ b/packages/flow/include/oriolehold/flow/read_schedule.h
@@ -18,12 +18,16 @@
     // After a read that gave nothing, while there is a view and while there is none.
     static constexpr std::chrono::milliseconds retryInterval { 1000 };
     static constexpr std::chrono::milliseconds firstRetryInterval { 400 };
+    // Between reads that a decision waits for.
+    static constexpr std::chrono::milliseconds urgentInterval { 250 };
 
     // number is random and decides the offset.
     explicit read_schedule(std::uint64_t number);
 
     // readAt is the time of the read that the view rests on; complete tells whether there is one.
     bool due(core::time_point now, core::time_point readAt, bool complete) const;
+    // The same when a decision waits for a newer view.
+    bool urgentlyDue(core::time_point now) const { return now >= m_begunAt + urgentInterval; }
     // Time of the next turn if nothing changes.
     core::time_point next(core::time_point readAt, bool complete) const;
     void begin(core::time_point now) { m_begunAt = now; }
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -28,6 +28,8 @@
 constexpr std::size_t relayCount = 3;
 // A restarted instance that the store turns away asks its seeds so often.
 constexpr core::duration seedInterval = 200ms;
+// A search that waits for a newer list is looked at again after this time.
+constexpr core::duration searchInterval = 50ms;
 // News are aged by their time on the way.
 constexpr core::duration newsDelay = 100ms;
 
@@ -263,6 +265,7 @@
 
 void entry_balancer::concludeSearches(core::time_point now)
 {
+    m_searchNeedsRead = false;
     boost::unordered::erase_if(m_searches, [&](const auto &item) {
         const auto &[key, state] = item;
         if (now - state.lastPacketAt > searchLifetime)
@@ -270,15 +273,18 @@
         const flow_route *route = routeOf(key.service);
         if (route == nullptr)
             return true;
-        // The flow is gone when all who may hold it deny it, by a list that is younger than the
-        // search: an upstream that only others know of yet would be in it.
-        if (m_directory.readAt() <= state.startedAt + newsDelay)
-            return false;
         const auto owners = m_directory.owners(*route, m_identity.zone);
-        const bool gone = std::ranges::all_of(owners, [&](std::uint32_t machine) {
-            const auto found = std::ranges::find(state.candidates, machine, &candidate::machine);
+        const bool allDeny = std::ranges::all_of(owners, [&](std::uint32_t machine) {
+            const auto found =
+                    std::ranges::find(state.candidates, machine, &candidate::machine);
             return found != state.candidates.end() && found->denied;
         });
+        if (!allDeny)
+            return false;
+        // The flow is gone when all who may hold it deny it, by a list that is younger than the
+        // search: an upstream that only others know of yet would be in it.
+        const bool gone = m_directory.readAt() > state.startedAt + newsDelay;
+        m_searchNeedsRead = m_searchNeedsRead || !gone;
         if (gone)
             resetClient(state.lastHead, "no upstream holds the flow", now);
         return gone;
@@ -320,7 +326,8 @@
 
 bool entry_balancer::readDue(core::time_point now) const
 {
-    return m_schedule.due(now, m_view.readAt(), m_view.complete());
+    return m_schedule.due(now, m_view.readAt(), m_view.complete())
+            || (m_searchNeedsRead && m_schedule.urgentlyDue(now));
 }
 
 void entry_balancer::beginRead(core::time_point now)
@@ -373,7 +380,7 @@
         greetAgents(now);
     if (now >= m_nextExpiry)
         expireOwners(now);
-    if (!m_searches.empty())
+    if (!m_searches.empty() || m_searchNeedsRead)
         concludeSearches(now);
     if (!m_view.complete() && now >= m_nextSeedRequest) {
         m_nextSeedRequest = now + seedInterval;
@@ -382,6 +389,8 @@
     }
     core::time_point next = std::min(m_nextHello, m_nextExpiry);
     next = std::min(next, m_schedule.next(m_view.readAt(), m_view.complete()));
+    if (m_searchNeedsRead)
+        next = std::min(next, now + searchInterval);
     return std::max(next - now, core::duration::zero());
 }
 
--- a/packages/flow/src/flow_agent.cpp
+++ b/packages/flow/src/flow_agent.cpp
@@ -13,6 +13,13 @@
 // has not returned after this time it has taken.
 constexpr core::duration probeTime = 30ms;
 constexpr core::duration reportInterval = 200ms;
+// An upstream answers an opening packet within milliseconds. One that takes longer has crashed or
+// stands still, and another upstream can still answer before the client repeats the packet at 200
+// ms.
+constexpr core::duration openingTime = 60ms;
+// Unanswered opening packets until the upstream is reported as unresponsive; a single one may be
+// lost.
+constexpr std::uint32_t unresponsiveAfter = 2;
 // Six missed greetings.
 constexpr core::duration entrySilence = 3s;
 constexpr core::duration expiryInterval = 1s;
@@ -78,6 +85,8 @@
         state.lastSeen = now;
         countRequest(state, *head, now);
     }
+    if (head->isOpening() && known == m_flows.end())
+        m_openings.push_back({ key, entry, now + openingTime, { packet.begin(), packet.end() } });
     m_codec.copyTagged(packet, { head->tag.kind, relayOf(entry) }, m_scratch);
     m_output.sendToUpstream(m_scratch);
 }
@@ -102,6 +111,7 @@
 void flow_agent::receiveFromUpstream(core::byte_view packet, core::time_point now)
 {
     ++m_counters.fromUpstream;
+    m_unanswered = 0;
     const std::optional<packet_head> head = m_codec.decode(packet);
     if (!head) {
         ++m_counters.malformed;
@@ -115,6 +125,7 @@
     const flow_key key = keyOfUpstreamPacket(*head);
     flow_state &state = m_flows[key];
     state.lastSeen = now;
+    state.answered = true;
     if (!head->opens && !head->resets && !state.open)
         opened(key, state, now);
     if ((head->payloadSize > 0 || head->resets || head->finishes) && state.requestAt != core::time_point {}) {
@@ -153,6 +164,8 @@
               .machine = entry.address,
               .running = m_load.running() });
     forget(key, now);
+    if (refused)
+        std::erase_if(m_openings, [&](const pending_opening &item) { return item.key == key; });
     if (refused)
         giveBack(entry, instruction::refused, packet);
     else if (head.tag.kind == instruction::probe)
@@ -218,6 +231,26 @@
     }
 }
 
+void flow_agent::giveBackUnanswered(core::time_point now)
+{
+    while (!m_openings.empty() && m_openings.front().giveBackAt <= now) {
+        const pending_opening opening = std::move(m_openings.front());
+        m_openings.pop_front();
+        const auto found = m_flows.find(opening.key);
+        if (found != m_flows.end() && found->second.answered)
+            continue;
+        ++m_counters.unanswered;
+        if (++m_unanswered == unresponsiveAfter)
+            m_nextReport = now;
+        m_observer.decided({ .kind = decision_kind::openingRefused,
+                             .flow = opening.key,
+                             .machine = opening.entry.address,
+                             .reason = "the upstream does not answer",
+                             .running = m_load.running() });
+        giveBack(opening.entry, instruction::refused, opening.packet);
+    }
+}
+
 void flow_agent::claimProbed(core::time_point now)
 {
     while (!m_probes.empty() && m_probes.front().claimAt <= now) {
@@ -251,7 +284,8 @@
 void flow_agent::reportLoad(core::time_point now)
 {
     const load_report report { m_bootId, m_load.running(), m_load.meanRunning(now),
-                               static_cast<std::uint32_t>(m_openFlows), m_load.meanServiceTime() };
+                               static_cast<std::uint32_t>(m_openFlows), m_load.meanServiceTime(),
+                               m_unanswered < unresponsiveAfter };
     for (const auto &[machine, entry] : m_entries)
         m_output.sendMessage(machine, report);
     m_nextReport = now + reportInterval;
@@ -260,6 +294,7 @@
 core::duration flow_agent::tick(core::time_point now)
 {
     claimProbed(now);
+    giveBackUnanswered(now);
     if (now >= m_nextReport)
         reportLoad(now);
     if (now >= m_nextExpiry)
@@ -267,6 +302,8 @@
     core::time_point next = std::min(m_nextReport, m_nextExpiry);
     if (!m_probes.empty())
         next = std::min(next, m_probes.front().claimAt);
+    if (!m_openings.empty())
+        next = std::min(next, m_openings.front().giveBackAt);
     return std::max(next - now, core::duration::zero());
 }
 
--- a/packages/flow/src/placement_policy.cpp
+++ b/packages/flow/src/placement_policy.cpp
@@ -35,9 +35,10 @@
     return load;
 }
 
+// Whether the agent or its upstream does not answer.
 bool isSilent(const known_upstream &item, core::time_point now)
 {
-    return item.reportedAt == core::time_point {} || now - item.reportedAt > silenceLimit;
+    return !item.report.responsive || item.reportedAt == core::time_point {} || now - item.reportedAt > silenceLimit;
 }
 
 } // namespace
--- a/packages/wire/src/flow_datagram.cpp
+++ b/packages/wire/src/flow_datagram.cpp
@@ -31,7 +31,7 @@
 void serialize(Archive &archive, load_report &value)
 {
     archive(value.bootId, value.running, value.meanRunning, value.openFlows,
-            microseconds { value.meanServiceTime });
+            microseconds { value.meanServiceTime }, value.responsive);
 }
 
 template<typename Archive>
