Hold requests back while an upstream is busy, newest first

Cause: after an outage all clients repeat their requests at once; the upstreams' queues fill with old requests, and 503 answers and late answers follow for seconds. Change: the agent keeps new requests while its upstream has slots + 1 running, lets urgent routes and then the newest through first, and any after 700 ms. Entry instances tell the slots and the priority.

--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -108,7 +108,8 @@
     void receiveReturned(const packet_head &head, core::byte_view packet, core::time_point now);
     void open(const packet_head &head, core::byte_view packet, const flow_route &route,
               core::time_point now);
-    void forward(std::uint32_t machine, core::byte_view packet);
+    std::uint8_t priorityOf(const core::endpoint &service) const;
+    void forward(std::uint32_t machine, const core::endpoint &service, core::byte_view packet);
     void probe(const flow_key &key, const flow_route &route, const packet_head &head,
                core::byte_view packet, std::uint32_t except, core::time_point now);
     void deny(const flow_key &key, std::uint32_t machine);
--- a/packages/flow/include/oriolehold/flow/flow_agent.h
+++ b/packages/flow/include/oriolehold/flow/flow_agent.h
@@ -4,6 +4,7 @@
 #include "oriolehold/flow/load_meter.h"
 #include "oriolehold/flow/packet.h"
 #include "oriolehold/flow/peer_message.h"
+#include "oriolehold/flow/request_gate.h"
 #include "oriolehold/flow/view_exchange.h"
 
 #include <boost/unordered/unordered_flat_map.hpp>
@@ -36,6 +37,7 @@
     std::uint64_t unanswered = 0;
     std::uint64_t absent = 0;
     std::uint64_t claims = 0;
+    std::uint64_t held = 0;
 };
 
 struct agent_identity
@@ -66,7 +68,7 @@
     struct flow_state
     {
         core::time_point lastSeen {};
-        core::time_point requestAt {};   // epoch: no request at the upstream
+        core::time_point requestAt {};     // epoch: no request at the upstream
         std::uint32_t requestSequence = 0; // after the last data that was counted
         bool open = false;
         bool answered = false; // the upstream has sent a packet of the flow
@@ -97,7 +99,13 @@
 
     std::uint32_t relayOf(const core::endpoint &entry);
     void receiveReturned(const packet_head &head, core::byte_view packet, core::time_point now);
-    void countRequest(flow_state &state, const packet_head &head, core::time_point now);
+    // Whether the packet begins a request that was not seen yet.
+    static bool beginsRequest(const flow_state &state, const packet_head &head);
+    void beginRequest(flow_state &state, core::time_point now);
+    // Sends the packet to the upstream, or holds it while the upstream is busy.
+    void deliver(const flow_key &key, flow_state &state, const packet_head &head,
+                 core::time_point now);
+    void releaseHeld(core::time_point now);
     void giveBack(const core::endpoint &entry, packet_tag::instruction kind,
                   core::byte_view packet);
     void opened(const flow_key &key, flow_state &state, core::time_point now);
@@ -123,6 +131,7 @@
     std::deque<pending_opening> m_openings; // in the order of their times
     std::uint32_t m_unanswered = 0;         // opening packets since the upstream's last packet
     load_meter m_load;
+    request_gate m_gate;
     view_exchange m_view;
     core::time_point m_nextReport {};
     core::time_point m_nextExpiry {};
--- a/packages/flow/include/oriolehold/flow/packet.h
+++ b/packages/flow/include/oriolehold/flow/packet.h
@@ -43,8 +43,10 @@
     // On the way to an agent the digest of the name of the service that the packet is for; an agent
     // beside an upstream of another service refuses it, so a reused address gets no packets of its
     // predecessor. From the agent to the upstream and back the index of the sending entry instance
-    // in the agent's list. 28 bits.
+    // in the agent's list. 24 bits.
     std::uint32_t value = 0;
+    // Urgency of the route's requests, 0 is the most urgent. 4 bits.
+    std::uint8_t priority = 0;
 
     bool operator==(const packet_tag &) const = default;
 };
@@ -53,7 +55,7 @@
 // Unknown instructions are read as none.
 packet_tag unpackTag(std::uint32_t bits);
 
-// 28 bits.
+// 24 bits.
 std::uint32_t serviceDigest(std::string_view serviceName);
 
 // The decoded head of a packet, in either direction.
--- a/packages/flow/include/oriolehold/flow/peer_message.h
+++ b/packages/flow/include/oriolehold/flow/peer_message.h
@@ -51,6 +51,7 @@
 {
     std::uint64_t bootId = 0; // random number of the process; a new one asks for all flows
     std::string zone;
+    std::uint32_t slots = 0; // of the upstream beside the agent, as published
 
     bool operator==(const entry_hello &) const = default;
 };
--- /dev/null
+++ b/packages/flow/include/oriolehold/flow/request_gate.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "oriolehold/flow/packet.h"
+
+#include <boost/unordered/unordered_flat_map.hpp>
+
+#include <functional>
+#include <vector>
+
+// Holds requests back while the upstream is busy, so that its queue stays short and the order under
+// overload is ours: urgent classes first, and within a class the newest request, which can still
+// meet its latency objective.
+
+namespace oriolehold::flow {
+
+class request_gate
+{
+public:
+    // A held request is let through after this time in any case, so that the upstream itself serves
+    // or refuses it well before the deadline of its client.
+    static constexpr std::chrono::milliseconds maxHold { 700 };
+    // Requests that may wait at the upstream beside those that it works on. They keep its slots
+    // busy while an answer is on its way.
+    static constexpr std::uint32_t allowance = 1;
+    // Packets of one request that are kept; clients have at most 16 in flight.
+    static constexpr std::size_t maxPackets = 16;
+    // Requests that are held at the same time; later ones pass.
+    static constexpr std::size_t maxHeld = 512;
+
+    // 0: the gate is open.
+    void setSlots(std::uint32_t slots) { m_slots = slots; }
+
+    // Whether a new request must wait.
+    bool closed(std::uint32_t running) const
+    {
+        return m_slots > 0 && running >= m_slots + allowance && m_held.size() < maxHeld;
+    }
+    bool holds(const flow_key &key) const { return m_held.contains(key); }
+    // Keeps a packet of a request. The first packet of a flow starts the wait; retransmissions are
+    // dropped.
+    void hold(const flow_key &key, std::uint8_t priority, std::uint32_t sequence,
+              core::byte_view packet, core::time_point now);
+    void forget(const flow_key &key) { m_held.erase(key); }
+
+    using released = std::function<void(const flow_key &, std::span<const core::byte_vector>)>;
+    // Lets requests through while the upstream can take them, and those that waited too long.
+    // running tells the present number and counts those that were let through.
+    void release(core::time_point now, const std::function<std::uint32_t()> &running,
+                 const released &onRelease);
+
+    std::size_t held() const { return m_held.size(); }
+    // Time of the next forced release; the maximum when none is held.
+    core::time_point next() const;
+
+private:
+    struct held_request
+    {
+        std::uint8_t priority = 0; // 0 is the most urgent
+        core::time_point since {};
+        std::vector<std::uint32_t> sequences;
+        std::vector<core::byte_vector> packets;
+    };
+
+    boost::unordered_flat_map<flow_key, held_request, flow_key_hash> m_held;
+    std::uint32_t m_slots = 0;
+};
+
+} // namespace oriolehold::flow
--- a/packages/flow/include/oriolehold/flow/routing_view.h
+++ b/packages/flow/include/oriolehold/flow/routing_view.h
@@ -26,6 +26,7 @@
 {
     core::endpoint address;
     std::vector<weighted_service> services;
+    std::uint8_t priority = 0; // of its requests; 0 is the most urgent, 15 the least
 
     bool operator==(const flow_route &) const = default;
 };
--- a/packages/flow/include/oriolehold/flow/view_exchange.h
+++ b/packages/flow/include/oriolehold/flow/view_exchange.h
@@ -18,8 +18,7 @@
     virtual core::byte_vector encode(const flow_configuration &configuration) const = 0;
     virtual core::byte_vector encode(const upstream_list &list) const = 0;
     // Empty optionals when the bytes are malformed.
-    virtual std::optional<flow_configuration>
-    decodeConfiguration(core::byte_view bytes) const = 0;
+    virtual std::optional<flow_configuration> decodeConfiguration(core::byte_view bytes) const = 0;
     virtual std::optional<upstream_list> decodeUpstreams(core::byte_view bytes) const = 0;
 };
 
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -53,6 +53,12 @@
     return found == m_routes.end() ? nullptr : &m_view.configuration().routes[found->second];
 }
 
+std::uint8_t entry_balancer::priorityOf(const core::endpoint &service) const
+{
+    const flow_route *route = routeOf(service);
+    return route == nullptr ? 0 : route->priority;
+}
+
 void entry_balancer::receivePacket(core::byte_view packet, core::time_point now)
 {
     ++m_counters.packets;
@@ -75,7 +81,7 @@
     if (known != m_owners.end()) {
         known->second.lastSeen = secondsOf(now);
         ++m_counters.knownFlow;
-        forward(known->second.machine, packet);
+        forward(known->second.machine, key.service, packet);
         return;
     }
     const flow_route *route = routeOf(key.service);
@@ -126,7 +132,7 @@
     item.machine = chosen->machine();
     item.lastSeen = secondsOf(now);
     item.confirmed = false;
-    forward(item.machine, packet);
+    forward(item.machine, key.service, packet);
     ++(again ? m_counters.replaced : m_counters.placed);
     m_observer.decided({ .kind = again ? decision_kind::replaced : decision_kind::placed,
                          .flow = key,
@@ -139,15 +145,18 @@
                          .candidates = static_cast<std::uint32_t>(candidates.size()) });
 }
 
-void entry_balancer::forward(std::uint32_t machine, core::byte_view packet)
+void entry_balancer::forward(std::uint32_t machine, const core::endpoint &service,
+                             core::byte_view packet)
 {
     const known_upstream *known = m_directory.find(machine);
     if (known == nullptr) {
         ++m_counters.dropped;
         return;
     }
-    m_codec.copyTagged(packet, { instruction::deliver, serviceDigest(known->record.service) },
-                       m_scratch);
+    m_codec.copyTagged(
+            packet,
+            { instruction::deliver, serviceDigest(known->record.service), priorityOf(service) },
+            m_scratch);
     m_output.sendToAgent(machine, m_scratch);
 }
 
@@ -208,8 +217,10 @@
         if (entry.denied || known == nullptr)
             continue;
         state.asked = std::max(state.asked, i + 1);
-        m_codec.copyTagged(packet, { instruction::probe, serviceDigest(known->record.service) },
-                           m_scratch);
+        m_codec.copyTagged(
+                packet,
+                { instruction::probe, serviceDigest(known->record.service), route.priority },
+                m_scratch);
         m_output.sendToAgent(entry.machine, m_scratch);
         ++sent;
         ++m_counters.probes;
@@ -275,8 +286,7 @@
             return true;
         const auto owners = m_directory.owners(*route, m_identity.zone);
         const bool allDeny = std::ranges::all_of(owners, [&](std::uint32_t machine) {
-            const auto found =
-                    std::ranges::find(state.candidates, machine, &candidate::machine);
+            const auto found = std::ranges::find(state.candidates, machine, &candidate::machine);
             return found != state.candidates.end() && found->denied;
         });
         if (!allDeny)
@@ -356,9 +366,11 @@
 
 void entry_balancer::greetAgents(core::time_point now)
 {
-    const entry_hello hello { m_identity.bootId, m_identity.zone };
-    for (const std::uint32_t machine : m_directory.machines())
-        m_output.sendMessage(machine, hello);
+    for (const std::uint32_t machine : m_directory.machines()) {
+        const known_upstream *known = m_directory.find(machine);
+        m_output.sendMessage(
+                machine, entry_hello { m_identity.bootId, m_identity.zone, known->record.slots });
+    }
     m_nextHello = now + helloInterval;
     if (m_greetedAt == core::time_point {} && !m_directory.empty())
         m_greetedAt = now;
--- a/packages/flow/src/flow_agent.cpp
+++ b/packages/flow/src/flow_agent.cpp
@@ -27,7 +27,7 @@
 constexpr core::duration openLifetime = 65s;   // since the last packet
 constexpr core::duration offeredLifetime = 5s; // since the last packet; clients stop after 1.4 s
 // Longest time that a request is counted as running without an answer.
-constexpr core::duration requestLifetime = 8s;
+constexpr core::duration requestLifetime = 3s;
 
 } // namespace
 
@@ -72,42 +72,70 @@
             giveBack(entry, head->isOpening() ? instruction::refused : instruction::absent, packet);
         return;
     }
-    const auto known = m_flows.find(key);
-    if (known != m_flows.end()) {
-        flow_state &state = known->second;
-        state.lastSeen = now;
-        countRequest(state, *head, now);
-        if (isProbe && state.open)
-            m_output.sendMessage(entry.address, flow_claim { { key } });
-    } else if (isProbe) {
+    const auto [item, added] = m_flows.try_emplace(key);
+    flow_state &state = item->second;
+    state.lastSeen = now;
+    if (isProbe && state.open)
+        m_output.sendMessage(entry.address, flow_claim { { key } });
+    if (isProbe && added)
         m_probes.push_back({ key, now + probeTime });
-        flow_state &state = m_flows[key];
-        state.lastSeen = now;
-        countRequest(state, *head, now);
-    }
-    if (head->isOpening() && known == m_flows.end())
+    if (head->isOpening() && added)
         m_openings.push_back({ key, entry, now + openingTime, { packet.begin(), packet.end() } });
-    m_codec.copyTagged(packet, { head->tag.kind, relayOf(entry) }, m_scratch);
-    m_output.sendToUpstream(m_scratch);
+    m_codec.copyTagged(packet, { head->tag.kind, relayOf(entry), head->tag.priority }, m_scratch);
+    deliver(key, state, *head, now);
 }
 
-void flow_agent::countRequest(flow_state &state, const packet_head &head, core::time_point now)
+bool flow_agent::beginsRequest(const flow_state &state, const packet_head &head)
 {
-    if (head.payloadSize == 0)
-        return;
-    const std::uint32_t end = head.sequence + head.payloadSize;
     // Sequence numbers wrap around. A retransmission of a request that was answered is no request.
-    const bool isNew = state.requestSequence == 0
-            || static_cast<std::int32_t>(end - state.requestSequence) > 0;
-    if (!isNew)
-        return;
-    state.requestSequence = end;
-    if (state.requestAt != core::time_point {})
-        return;
+    const std::uint32_t end = head.sequence + head.payloadSize;
+    return head.payloadSize > 0 && state.requestAt == core::time_point {}
+    && (state.requestSequence == 0 || static_cast<std::int32_t>(end - state.requestSequence) > 0);
+}
+
+void flow_agent::beginRequest(flow_state &state, core::time_point now)
+{
     state.requestAt = now;
     m_load.begin(now);
 }
 
+void flow_agent::deliver(const flow_key &key, flow_state &state, const packet_head &head,
+                         core::time_point now)
+{
+    const bool waits = m_gate.holds(key);
+    const bool begins = !waits && beginsRequest(state, head);
+    if (head.payloadSize > 0 && (waits || (begins && m_gate.closed(m_load.running())))) {
+        m_counters.held += begins ? 1 : 0;
+        m_gate.hold(key, head.tag.priority, head.sequence, m_scratch, now);
+        return;
+    }
+    if (begins)
+        beginRequest(state, now);
+    if (head.payloadSize > 0) {
+        const std::uint32_t end = head.sequence + head.payloadSize;
+        if (state.requestSequence == 0
+            || static_cast<std::int32_t>(end - state.requestSequence) > 0)
+            state.requestSequence = end;
+    }
+    m_output.sendToUpstream(m_scratch);
+}
+
+void flow_agent::releaseHeld(core::time_point now)
+{
+    m_gate.release(
+            now, [this] { return m_load.running(); },
+            [&](const flow_key &key, std::span<const core::byte_vector> packets) {
+                const auto found = m_flows.find(key);
+                if (found != m_flows.end())
+                    beginRequest(found->second, now);
+                for (const core::byte_vector &packet : packets) {
+                    if (const auto head = m_codec.decode(packet); head && found != m_flows.end())
+                        found->second.requestSequence = head->sequence + head->payloadSize;
+                    m_output.sendToUpstream(packet);
+                }
+            });
+}
+
 void flow_agent::receiveFromUpstream(core::byte_view packet, core::time_point now)
 {
     ++m_counters.fromUpstream;
@@ -128,7 +156,8 @@
     state.answered = true;
     if (!head->opens && !head->resets && !state.open)
         opened(key, state, now);
-    if ((head->payloadSize > 0 || head->resets || head->finishes) && state.requestAt != core::time_point {}) {
+    if ((head->payloadSize > 0 || head->resets || head->finishes)
+        && state.requestAt != core::time_point {}) {
         m_load.end(now - state.requestAt, now);
         state.requestAt = {};
     }
@@ -183,6 +212,7 @@
         m_load.abandon(now);
     if (found->second.open)
         --m_openFlows;
+    m_gate.forget(key);
     m_flows.erase(found);
 }
 
@@ -225,6 +255,7 @@
     known_entry &entry = m_entries[machine];
     const bool restarted = entry.bootId != hello->bootId;
     entry = { hello->bootId, hello->zone, now };
+    m_gate.setSlots(hello->slots);
     if (restarted) {
         sendAllFlows(machine);
         m_nextReport = now;
@@ -274,6 +305,8 @@
         const bool expired = now - state.lastSeen > (state.open ? openLifetime : offeredLifetime);
         if (expired && state.open)
             --m_openFlows;
+        if (expired)
+            m_gate.forget(item.first);
         return expired;
     });
     boost::unordered::erase_if(
@@ -283,8 +316,11 @@
 
 void flow_agent::reportLoad(core::time_point now)
 {
-    const load_report report { m_bootId, m_load.running(), m_load.meanRunning(now),
-                               static_cast<std::uint32_t>(m_openFlows), m_load.meanServiceTime(),
+    const load_report report { m_bootId,
+                               m_load.running() + static_cast<std::uint32_t>(m_gate.held()),
+                               m_load.meanRunning(now),
+                               static_cast<std::uint32_t>(m_openFlows),
+                               m_load.meanServiceTime(),
                                m_unanswered < unresponsiveAfter };
     for (const auto &[machine, entry] : m_entries)
         m_output.sendMessage(machine, report);
@@ -295,6 +331,7 @@
 {
     claimProbed(now);
     giveBackUnanswered(now);
+    releaseHeld(now);
     if (now >= m_nextReport)
         reportLoad(now);
     if (now >= m_nextExpiry)
@@ -302,6 +339,7 @@
     core::time_point next = std::min(m_nextReport, m_nextExpiry);
     if (!m_probes.empty())
         next = std::min(next, m_probes.front().claimAt);
+    next = std::min(next, m_gate.next());
     if (!m_openings.empty())
         next = std::min(next, m_openings.front().giveBackAt);
     return std::max(next - now, core::duration::zero());
--- a/packages/flow/src/packet.cpp
+++ b/packages/flow/src/packet.cpp
@@ -5,7 +5,9 @@
 namespace {
 
 constexpr unsigned instructionShift = 28;
-constexpr std::uint32_t valueMask = (1U << instructionShift) - 1;
+constexpr unsigned priorityShift = 24;
+constexpr std::uint32_t priorityMask = 0xf;
+constexpr std::uint32_t valueMask = (1U << priorityShift) - 1;
 
 // FNV-1a, 64 bits.
 constexpr std::uint64_t fnvOffset = 0xcbf29ce484222325ULL;
@@ -38,7 +40,8 @@
 
 std::uint32_t pack(const packet_tag &tag)
 {
-    return static_cast<std::uint32_t>(tag.kind) << instructionShift | (tag.value & valueMask);
+    return static_cast<std::uint32_t>(tag.kind) << instructionShift
+            | (tag.priority & priorityMask) << priorityShift | (tag.value & valueMask);
 }
 
 packet_tag unpackTag(std::uint32_t bits)
@@ -46,7 +49,8 @@
     const std::uint32_t kind = bits >> instructionShift;
     if (kind > static_cast<std::uint32_t>(packet_tag::instruction::refused))
         return {};
-    return { static_cast<packet_tag::instruction>(kind), bits & valueMask };
+    return { static_cast<packet_tag::instruction>(kind), bits & valueMask,
+             static_cast<std::uint8_t>(bits >> priorityShift & priorityMask) };
 }
 
 std::uint32_t serviceDigest(std::string_view serviceName)
--- a/packages/flow/src/placement_policy.cpp
+++ b/packages/flow/src/placement_policy.cpp
@@ -38,7 +38,8 @@
 // Whether the agent or its upstream does not answer.
 bool isSilent(const known_upstream &item, core::time_point now)
 {
-    return !item.report.responsive || item.reportedAt == core::time_point {} || now - item.reportedAt > silenceLimit;
+    return !item.report.responsive || item.reportedAt == core::time_point {}
+    || now - item.reportedAt > silenceLimit;
 }
 
 } // namespace
--- a/packages/wire/src/flow_datagram.cpp
+++ b/packages/wire/src/flow_datagram.cpp
@@ -24,7 +24,7 @@
 template<typename Archive>
 void serialize(Archive &archive, entry_hello &value)
 {
-    archive(value.bootId, bytes(value.zone));
+    archive(value.bootId, bytes(value.zone), value.slots);
 }
 
 template<typename Archive>
@@ -75,7 +75,8 @@
 template<typename Archive>
 void serialize(Archive &archive, flow_route &value)
 {
-    archive(value.address, bounded_list<weighted_service> { value.services });
+    archive(value.address, bounded_list<weighted_service> { value.services },
+            value.priority);
 }
 
 template<typename Archive>
