Claim a probed flow only on evidence that the upstream lives; need no denial of gone upstreams

Cause: the agent beside a crashed upstream claimed every flow that it was asked for, because nothing came back; packets of open flows went there until the entry lapsed. Found by randomised run seed 131, kept in flow_random, FormerFailuresStayMended; unit test ProbeAtASilentUpstreamIsNotClaimed. Ruled out: the gate (nothing held for longer than 700 ms), a lost claim (all three entry instances named the crashed machine as owner). Second change: an upstream that is unlisted for 3 s and whose agent is silent or gets no answer needs no denial, so a client of a lost flow is reset instead of waiting 20 s.

--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -73,6 +73,8 @@
 
     const view_exchange &view() const { return m_view; }
     const upstream_directory &directory() const { return m_directory; }
+    // Machine of the upstream that is believed to hold the flow; 0 when none is known.
+    std::uint32_t ownerOf(const flow_key &key) const;
     std::size_t knownFlows() const { return m_owners.size(); }
     std::size_t openSearches() const { return m_searches.size(); }
     const entry_counters &counters() const { return m_counters; }
--- a/packages/flow/include/oriolehold/flow/flow_agent.h
+++ b/packages/flow/include/oriolehold/flow/flow_agent.h
@@ -82,7 +82,7 @@
     struct pending_probe
     {
         flow_key key;
-        core::time_point claimAt {};
+        core::time_point deliveredAt {};
     };
     // An opening packet that the upstream has not answered yet.
     struct pending_opening
@@ -129,7 +129,8 @@
     std::vector<core::endpoint> m_relays;
     std::deque<pending_probe> m_probes;     // in the order of their times
     std::deque<pending_opening> m_openings; // in the order of their times
-    std::uint32_t m_unanswered = 0;         // opening packets since the upstream's last packet
+    core::time_point m_upstreamHeardAt {};  // its last packet
+    std::uint32_t m_unanswered = 0;         // packets without an answer since then
     load_meter m_load;
     request_gate m_gate;
     view_exchange m_view;
--- a/packages/flow/include/oriolehold/flow/upstream_directory.h
+++ b/packages/flow/include/oriolehold/flow/upstream_directory.h
@@ -40,6 +40,11 @@
     static constexpr std::chrono::milliseconds lapseTolerance { 2500 };
     // A removed upstream may still hold flows; the search for an owner includes it for this time.
     static constexpr std::chrono::seconds removedRetention { 20 };
+    // An upstream that is not listed for so long, and whose agent is silent or gets no answer from
+    // it, holds no flow any more.
+    static constexpr std::chrono::milliseconds goneAfter { 3000 };
+    // Five missed reports.
+    static constexpr std::chrono::milliseconds agentSilence { 1000 };
     // A gap between two lists that counts as an outage of the store.
     static constexpr std::chrono::milliseconds outageGap { 2500 };
 
@@ -55,6 +60,8 @@
     std::vector<known_upstream *> eligible(std::string_view service, core::time_point now);
     // All machines that may hold a flow of one of the services, likely ones first.
     std::vector<std::uint32_t> owners(const flow_route &route, std::string_view zone) const;
+    // Whether the upstream on the machine is known to hold no flow.
+    bool isGone(std::uint32_t machine, core::time_point now) const;
     std::vector<std::uint32_t> machines() const;
 
     bool empty() const { return m_upstreams.empty(); }
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -53,6 +53,12 @@
     return found == m_routes.end() ? nullptr : &m_view.configuration().routes[found->second];
 }
 
+std::uint32_t entry_balancer::ownerOf(const flow_key &key) const
+{
+    const auto found = m_owners.find(key);
+    return found == m_owners.end() ? 0 : found->second.machine;
+}
+
 std::uint8_t entry_balancer::priorityOf(const core::endpoint &service) const
 {
     const flow_route *route = routeOf(service);
@@ -286,6 +292,8 @@
             return true;
         const auto owners = m_directory.owners(*route, m_identity.zone);
         const bool allDeny = std::ranges::all_of(owners, [&](std::uint32_t machine) {
+            if (m_directory.isGone(machine, now))
+                return true;
             const auto found = std::ranges::find(state.candidates, machine, &candidate::machine);
             return found != state.candidates.end() && found->denied;
         });
--- a/packages/flow/src/flow_agent.cpp
+++ b/packages/flow/src/flow_agent.cpp
@@ -10,8 +10,10 @@
 using instruction = packet_tag::instruction;
 
 // The upstream is on the same machine and returns a packet of an unknown flow at once. One that it
-// has not returned after this time it has taken.
+// has not returned after this time it has taken, if it lives.
 constexpr core::duration probeTime = 30ms;
+// Packets that the upstream sent so long after a probe show that it has seen the probe.
+constexpr core::duration probeDelay = 2ms;
 constexpr core::duration reportInterval = 200ms;
 // An upstream answers an opening packet within milliseconds. One that takes longer has crashed or
 // stands still, and another upstream can still answer before the client repeats the packet at 200
@@ -78,7 +80,7 @@
     if (isProbe && state.open)
         m_output.sendMessage(entry.address, flow_claim { { key } });
     if (isProbe && added)
-        m_probes.push_back({ key, now + probeTime });
+        m_probes.push_back({ key, now });
     if (head->isOpening() && added)
         m_openings.push_back({ key, entry, now + openingTime, { packet.begin(), packet.end() } });
     m_codec.copyTagged(packet, { head->tag.kind, relayOf(entry), head->tag.priority }, m_scratch);
@@ -143,6 +145,7 @@
 {
     ++m_counters.fromUpstream;
     m_unanswered = 0;
+    m_upstreamHeardAt = now;
     const std::optional<packet_head> head = m_codec.decode(packet);
     if (!head) {
         ++m_counters.malformed;
@@ -287,13 +290,18 @@
 
 void flow_agent::claimProbed(core::time_point now)
 {
-    while (!m_probes.empty() && m_probes.front().claimAt <= now) {
-        const flow_key key = m_probes.front().key;
+    while (!m_probes.empty() && m_probes.front().deliveredAt + probeTime <= now) {
+        const pending_probe probe = m_probes.front();
         m_probes.pop_front();
-        const auto found = m_flows.find(key);
+        const auto found = m_flows.find(probe.key);
         // Returned packets have removed the flow.
-        if (found != m_flows.end() && !found->second.open)
-            opened(key, found->second, now);
+        if (found == m_flows.end() || found->second.open)
+            continue;
+        // An upstream that crashed returns nothing and holds nothing.
+        if (m_upstreamHeardAt > probe.deliveredAt + probeDelay)
+            opened(probe.key, found->second, now);
+        else
+            ++m_unanswered;
     }
 }
 
@@ -341,7 +349,7 @@
         expire(now);
     core::time_point next = std::min(m_nextReport, m_nextExpiry);
     if (!m_probes.empty())
-        next = std::min(next, m_probes.front().claimAt);
+        next = std::min(next, m_probes.front().deliveredAt + probeTime);
     next = std::min(next, m_gate.next());
     if (!m_openings.empty())
         next = std::min(next, m_openings.front().giveBackAt);
--- a/packages/flow/src/upstream_directory.cpp
+++ b/packages/flow/src/upstream_directory.cpp
@@ -113,6 +113,15 @@
     return result;
 }
 
+bool upstream_directory::isGone(std::uint32_t machine, core::time_point now) const
+{
+    const known_upstream *known = find(machine);
+    if (known == nullptr)
+        return true;
+    const bool unreachable = now - known->reportedAt > agentSilence || !known->report.responsive;
+    return !known->listed && m_readAt - known->seenInList > goneAfter && unreachable;
+}
+
 std::vector<std::uint32_t> upstream_directory::machines() const
 {
     std::vector<std::uint32_t> result;
--- a/packages/flow/tests/entry_balancer_test.cpp
+++ b/packages/flow/tests/entry_balancer_test.cpp
@@ -229,6 +229,38 @@
     CHECK_EQUAL(0, balancer.openSearches());
 }
 
+// The machine of a removed upstream is gone with it and answers nothing.
+TEST(entry_balancer, RemovedUpstreamWithASilentAgentNeedsNoDenial)
+{
+    publish(0);
+    upstreams.upstreams.erase(upstreams.upstreams.begin() + 2);
+    publish(1000);
+    publish(5000);
+    receive(packet(), 5010);
+    balancer.receiveMessage(1, flow_denial { { client, ordersAddress } }, atMilliseconds(5012));
+    balancer.receiveMessage(2, flow_denial { { client, ordersAddress } }, atMilliseconds(5012));
+    publish(5500);
+    balancer.tick(atMilliseconds(5501));
+
+    CHECK_EQUAL(1, output.toClients.size());
+}
+
+TEST(entry_balancer, RemovedUpstreamWithALivingAgentMustDeny)
+{
+    publish(0);
+    upstreams.upstreams.erase(upstreams.upstreams.begin() + 2);
+    publish(1000);
+    publish(5000);
+    receive(packet(), 5010);
+    balancer.receiveMessage(1, flow_denial { { client, ordersAddress } }, atMilliseconds(5012));
+    balancer.receiveMessage(2, flow_denial { { client, ordersAddress } }, atMilliseconds(5012));
+    balancer.receiveMessage(3, load_report {}, atMilliseconds(5400));
+    publish(5500);
+    balancer.tick(atMilliseconds(5501));
+
+    CHECK_EQUAL(0, output.toClients.size());
+}
+
 // Removed upstreams may live: their entries lapse when they lose the store.
 TEST(entry_balancer, RemovedUpstreamIsStillSearched)
 {
--- a/packages/flow/tests/flow_agent_test.cpp
+++ b/packages/flow/tests/flow_agent_test.cpp
@@ -153,11 +153,25 @@
 {
     greet();
     receive(fromClient(instruction::probe), 0);
+    packet_head other = fromUpstream();
+    other.destination.port = 2;
+    other.opens = true;
+    answer(other, 20);
     agent.tick(atMilliseconds(40));
 
     CHECK_EQUAL(1, output.sent<flow_claim>().size());
 }
 
+// An upstream that crashed returns nothing; claiming its silence would draw in the flows of others.
+TEST(flow_agent, ProbeAtASilentUpstreamIsNotClaimed)
+{
+    greet();
+    receive(fromClient(instruction::probe), 0);
+    agent.tick(atMilliseconds(40));
+
+    CHECK_EQUAL(0, output.sent<flow_claim>().size());
+}
+
 TEST(flow_agent, ProbeThatComesBackIsNotClaimedLater)
 {
     greet();
--- a/packages/flow/tests/flow_random_test.cpp
+++ b/packages/flow/tests/flow_random_test.cpp
@@ -30,6 +30,17 @@
     }
 }
 
+// Kept seeds of former failures. 131: the agent beside a crashed upstream claimed the flows that it
+// was asked for.
+TEST(flow_random, FormerFailuresStayMended)
+{
+    for (const std::uint64_t seed : { 131 }) {
+        flow_world world(seed);
+        const std::string violation = world.run(std::chrono::seconds { 30 });
+        CHECK_TRUE_TEXT(violation.empty(), violation.c_str());
+    }
+}
+
 // A run in which nothing happens would prove nothing.
 TEST(flow_random, RunsExerciseTheirSubject)
 {
--- a/scripts/flow_mutants.sh
+++ b/scripts/flow_mutants.sh
@@ -6,7 +6,7 @@
 last=${1:-200}
 scratch=$(mktemp -d)
 trap 'rm -rf "$scratch"' EXIT
-git ls-files packages/flow packages/core/include packages/core/src/types.cpp packages/testing | cpio -pdm --quiet "$scratch"
+git archive HEAD packages/flow packages/core packages/testing | tar -x -C "$scratch"
 
 # Name, file below packages/flow, sed expression.
 variants=(
