Search flows of gone upstreams; serve metrics with request and search times on their own address

The metrics were only on the readiness address, and there were no times. Change: an owner that is gone is forgotten and the flow searched; histograms by service and priority at agents, of searches at entry instances; address 'metrics' in the settings.

--- a/packages/admin/include/oriolehold/admin/admin_server.h
+++ b/packages/admin/include/oriolehold/admin/admin_server.h
@@ -19,7 +19,11 @@
 {
 public:
     // source must outlive the server.
-    admin_server(core::endpoint listen, status_source &source);
+    admin_server(core::endpoint listen, status_source &source)
+        : admin_server(std::vector<core::endpoint> { listen }, source)
+    { }
+    // Serves the same on several addresses.
+    admin_server(std::vector<core::endpoint> listen, status_source &source);
     ~admin_server();
     admin_server(const admin_server &) = delete;
     admin_server &operator=(const admin_server &) = delete;
@@ -32,7 +36,7 @@
 private:
     class implementation;
 
-    const core::endpoint m_listen;
+    const std::vector<core::endpoint> m_listen;
     status_source &m_source;
     std::unique_ptr<implementation> m_implementation;
 };
--- a/packages/admin/src/admin_server.cpp
+++ b/packages/admin/src/admin_server.cpp
@@ -42,11 +42,12 @@
 class admin_server::implementation
 {
 public:
-    implementation(core::endpoint listen, status_source &source)
+    implementation(std::span<const core::endpoint> addresses, status_source &source)
         : m_service(source), m_server(m_loop)
     {
         // Not in the constructor of the server, which leaks memory when the address is in use.
-        m_server.listen(hostOf(listen), listen.port);
+        for (const core::endpoint &address : addresses)
+            m_server.listen(hostOf(address), address.port);
         m_server.minThreads(threadCount);
         m_server.maxThreads(threadCount);
         m_server.readTimeout(cxxtools::Milliseconds(readTimeout));
@@ -88,8 +89,8 @@
     std::thread m_thread;
 };
 
-admin_server::admin_server(core::endpoint listen, status_source &source)
-    : m_listen(listen), m_source(source)
+admin_server::admin_server(std::vector<core::endpoint> listen, status_source &source)
+    : m_listen(std::move(listen)), m_source(source)
 { }
 
 admin_server::~admin_server() = default;
@@ -99,7 +100,9 @@
     if (m_implementation)
         return;
     m_implementation = std::make_unique<implementation>(m_listen, m_source);
-    runtime::log(runtime::log_event::adminListening, { { "address", core::toString(m_listen) } });
+    for (const core::endpoint &address : m_listen)
+        runtime::log(runtime::log_event::adminListening,
+                     { { "address", core::toString(address) } });
 }
 
 void admin_server::stop()
--- a/packages/agent/src/flow_agent_daemon.cpp
+++ b/packages/agent/src/flow_agent_daemon.cpp
@@ -1,6 +1,6 @@
 #include "oriolehold/agent/flow_agent_daemon.h"
 
-#include "oriolehold/daemon/settings_reload.h"
+#include "oriolehold/daemon/flow_settings_support.h"
 #include "oriolehold/runtime/log_events.h"
 
 #include <random>
@@ -46,9 +46,9 @@
                                      const flow::packet_codec &codec)
     : m_settings(settings), m_packets(settings.packets), m_upstream(settings.upstreamPackets),
       m_messages({ settings.packets.address, settings.peerPort }),
-      m_output(m_packets, m_upstream, m_messages, settings.upstream),
+      m_output(m_packets, m_upstream, m_messages, settings.upstream), m_log(settings.service),
       m_agent({ randomNumber(), settings.service }, codec, m_documents, m_output, m_log),
-      m_admin(settings.admin, *this)
+      m_admin(daemon::adminAddresses(settings), *this)
 { }
 
 flow_agent_daemon::~flow_agent_daemon()
@@ -138,7 +138,7 @@
     add("flow_absent_total", "counter", m_published.absent);
     add("flow_claims_total", "counter", m_published.claims);
     add("flows_open", "gauge", m_publishedFlows);
-    return text;
+    return text + m_log.histograms();
 }
 
 } // namespace oriolehold::agent
--- a/packages/daemon/include/oriolehold/daemon/decision_log.h
+++ b/packages/daemon/include/oriolehold/daemon/decision_log.h
@@ -1,17 +1,32 @@
 #pragma once
 
+#include "oriolehold/core/class_histograms.h"
 #include "oriolehold/flow/flow_observer.h"
 
-// Writes the decisions of the flow path as log events.
+#include <string>
+
+// Writes the decisions of the flow path as log events and keeps their times.
 
 namespace oriolehold::daemon {
 
 class decision_log final : public flow::entry_observer
 {
 public:
+    // service names the upstream beside an agent; empty at an entry instance.
+    explicit decision_log(std::string service) : m_service(std::move(service)) { }
+
+    void answered(const flow::request_times &times) override;
     void decided(const flow::flow_decision &decision) override;
     void changed(const flow::directory_change &change) override;
     void routesChanged(const flow::flow_configuration &configuration) override;
+
+    // Prometheus text of the times: of requests by priority at an agent, of searches at an entry
+    // instance. Can be called by any thread.
+    std::string histograms() const;
+
+private:
+    const std::string m_service;
+    core::class_histograms m_histograms;
 };
 
 } // namespace oriolehold::daemon
--- a/packages/daemon/include/oriolehold/daemon/settings_reload.h
+++ b/packages/daemon/include/oriolehold/daemon/flow_settings_support.h
@@ -15,4 +15,7 @@
 std::optional<runtime::flow_settings> reloadSettings(const runtime::flow_settings &present,
                                                      const flow_settings_loader &load);
 
+// Where the interface for operators listens: the admin address and that of the metrics.
+std::vector<core::endpoint> adminAddresses(const runtime::flow_settings &settings);
+
 } // namespace oriolehold::daemon
--- a/packages/daemon/src/decision_log.cpp
+++ b/packages/daemon/src/decision_log.cpp
@@ -56,8 +56,29 @@
 
 } // namespace
 
+void decision_log::answered(const flow::request_times &times)
+{
+    const std::string name = "priority-" + std::to_string(times.priority);
+    m_histograms.record({ .tenant = {},
+                          .service = m_service,
+                          .className = name,
+                          .wait = times.held,
+                          .serviceTime = times.service,
+                          .total = times.held + times.service });
+}
+
+std::string decision_log::histograms() const
+{
+    return core::renderPrometheus(m_histograms.snapshot());
+}
+
 void decision_log::decided(const flow::flow_decision &decision)
 {
+    if (decision.kind == decision_kind::ownerFound)
+        m_histograms.record({ .tenant = {},
+                              .service = m_service,
+                              .className = "search",
+                              .total = decision.elapsed });
     const std::string key = toString(decision.flow);
     const std::string machine =
             decision.machine == 0 ? std::string() : core::toString({ decision.machine, 0 });
--- a/packages/daemon/src/settings_reload.cpp
+++ b/packages/daemon/src/flow_settings_support.cpp
@@ -1,4 +1,4 @@
-#include "oriolehold/daemon/settings_reload.h"
+#include "oriolehold/daemon/flow_settings_support.h"
 
 #include "oriolehold/runtime/log_events.h"
 
@@ -32,4 +32,12 @@
             });
 }
 
+std::vector<core::endpoint> adminAddresses(const runtime::flow_settings &settings)
+{
+    std::vector<core::endpoint> result { settings.admin };
+    if (!settings.metrics.isNull())
+        result.push_back(settings.metrics);
+    return result;
+}
+
 } // namespace oriolehold::daemon
--- /dev/null
+++ b/packages/daemon/tests/flow_settings_support_test.cpp
@@ -0,0 +1,63 @@
+#include "oriolehold/daemon/flow_settings_support.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace oriolehold;
+using namespace oriolehold::daemon;
+
+namespace {
+
+runtime::flow_settings settings()
+{
+    runtime::flow_settings result;
+    result.file = "settings.json";
+    result.admin = { 1, 2 };
+    return result;
+}
+
+} // namespace
+
+TEST_GROUP(flow_settings_support) {};
+
+TEST(flow_settings_support, ChangedSettingsAreReturned)
+{
+    const auto fresh = reloadSettings(
+            settings(), [](const std::string &) -> boost::leaf::result<runtime::flow_settings> {
+                runtime::flow_settings changed = settings();
+                changed.store = { 3, 4 };
+                return changed;
+            });
+
+    CHECK_TRUE(fresh.has_value());
+    CHECK_TRUE((fresh->store == core::endpoint { 3, 4 }));
+}
+
+TEST(flow_settings_support, UnchangedSettingsAreNotReturned)
+{
+    CHECK_FALSE(
+            reloadSettings(settings(),
+                           [](const std::string &) -> boost::leaf::result<runtime::flow_settings> {
+                               return settings();
+                           })
+                    .has_value());
+}
+
+// A half-written file must not replace settings that work.
+TEST(flow_settings_support, WrongSettingsAreNotReturned)
+{
+    CHECK_FALSE(
+            reloadSettings(settings(),
+                           [](const std::string &) -> boost::leaf::result<runtime::flow_settings> {
+                               return boost::leaf::new_error(
+                                       runtime::settings_error { "store", "an address" });
+                           })
+                    .has_value());
+}
+
+TEST(flow_settings_support, MetricsHaveTheirOwnAddressOnlyWhenSet)
+{
+    runtime::flow_settings item = settings();
+    CHECK_EQUAL(1, adminAddresses(item).size());
+    item.metrics = { 1, 9464 };
+    CHECK_EQUAL(2, adminAddresses(item).size());
+}
--- a/packages/entry/src/flow_entry_daemon.cpp
+++ b/packages/entry/src/flow_entry_daemon.cpp
@@ -1,6 +1,6 @@
 #include "oriolehold/entry/flow_entry_daemon.h"
 
-#include "oriolehold/daemon/settings_reload.h"
+#include "oriolehold/daemon/flow_settings_support.h"
 #include "oriolehold/runtime/log_events.h"
 
 #include <algorithm>
@@ -56,10 +56,11 @@
                                      const view_source_factory &makeSource)
     : m_settings(settings), m_makeSource(makeSource), m_packets(settings.packets),
       m_messages({ settings.packets.address, settings.peerPort }), m_output(m_packets, m_messages),
-      m_random(randomNumber()), m_policy(m_random),
+      m_log({}), m_random(randomNumber()), m_policy(m_random),
       m_balancer({ m_random.next(), settings.zone, machinesOf(settings.seeds) }, codec, m_documents,
                  m_policy, m_output, m_log),
-      m_source(makeSource(settings.store, m_stopped)), m_admin(settings.admin, *this)
+      m_source(makeSource(settings.store, m_stopped)),
+      m_admin(daemon::adminAddresses(settings), *this)
 { }
 
 flow_entry_daemon::~flow_entry_daemon()
@@ -222,7 +223,7 @@
     counter("flow_found_total", m_published.found);
     counter("flow_resets_total", m_published.resets);
     counter("packets_dropped_total", m_published.dropped);
-    return text;
+    return text + m_log.histograms();
 }
 
 } // namespace oriolehold::entry
--- a/packages/flow/include/oriolehold/flow/flow_agent.h
+++ b/packages/flow/include/oriolehold/flow/flow_agent.h
@@ -69,7 +69,9 @@
     {
         core::time_point lastSeen {};
         core::time_point requestAt {};     // epoch: no request at the upstream
+        core::duration held {};            // of that request
         std::uint32_t requestSequence = 0; // after the last data that was counted
+        std::uint8_t priority = 0;         // of that request
         bool open = false;
         bool answered = false; // the upstream has sent a packet of the flow
     };
@@ -101,7 +103,8 @@
     void receiveReturned(const packet_head &head, core::byte_view packet, core::time_point now);
     // Whether the packet begins a request that was not seen yet.
     static bool beginsRequest(const flow_state &state, const packet_head &head);
-    void beginRequest(flow_state &state, core::time_point now);
+    void beginRequest(flow_state &state, std::uint8_t priority, core::duration held,
+                      core::time_point now);
     // Sends the packet to the upstream, or holds it while the upstream is busy.
     void deliver(const flow_key &key, flow_state &state, const packet_head &head,
                  core::time_point now);
--- a/packages/flow/include/oriolehold/flow/flow_observer.h
+++ b/packages/flow/include/oriolehold/flow/flow_observer.h
@@ -37,10 +37,20 @@
     std::uint32_t candidates = 0; // considered or asked
 };
 
+// Times of one request, from its first packet at the agent.
+struct request_times
+{
+    std::uint8_t priority = 0; // of its route
+    core::duration held {};    // before it was given to the upstream
+    core::duration service {}; // until the first part of the answer
+};
+
 class entry_observer
 {
 public:
     virtual ~entry_observer() = default;
+    // By default nothing is done; entry instances see no requests.
+    virtual void answered(const request_times &) { }
     virtual void decided(const flow_decision &decision) = 0;
     virtual void changed(const directory_change &change) = 0;
     virtual void routesChanged(const flow_configuration &configuration) = 0;
--- a/packages/flow/include/oriolehold/flow/request_gate.h
+++ b/packages/flow/include/oriolehold/flow/request_gate.h
@@ -42,7 +42,13 @@
               core::byte_view packet, core::time_point now);
     void forget(const flow_key &key) { m_held.erase(key); }
 
-    using released = std::function<void(const flow_key &, std::span<const core::byte_vector>)>;
+    struct release_info
+    {
+        std::uint8_t priority = 0;
+        core::duration held {};
+    };
+    using released = std::function<void(const flow_key &, const release_info &,
+                                        std::span<const core::byte_vector>)>;
     // Lets requests through while the upstream can take them, and those that waited too long.
     // running tells the present number and counts those that were let through.
     void release(core::time_point now, const std::function<std::uint32_t()> &running,
--- a/packages/flow/include/oriolehold/flow/upstream_directory.h
+++ b/packages/flow/include/oriolehold/flow/upstream_directory.h
@@ -42,7 +42,7 @@
     static constexpr std::chrono::seconds removedRetention { 20 };
     // An upstream that is not listed for so long, and whose agent is silent or gets no answer from
     // it, holds no flow any more.
-    static constexpr std::chrono::milliseconds goneAfter { 3000 };
+    static constexpr std::chrono::milliseconds goneAfter { 500 };
     // Five missed reports.
     static constexpr std::chrono::milliseconds agentSilence { 1000 };
     // A gap between two lists that counts as an outage of the store.
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -83,7 +83,11 @@
                                        core::time_point now)
 {
     const flow_key key = keyOfClientPacket(head);
-    const auto known = m_owners.find(key);
+    auto known = m_owners.find(key);
+    if (known != m_owners.end() && m_directory.isGone(known->second.machine, now)) {
+        m_owners.erase(known);
+        known = m_owners.end();
+    }
     if (known != m_owners.end()) {
         known->second.lastSeen = secondsOf(now);
         ++m_counters.knownFlow;
--- a/packages/flow/src/flow_agent.cpp
+++ b/packages/flow/src/flow_agent.cpp
@@ -95,9 +95,12 @@
     && (state.requestSequence == 0 || static_cast<std::int32_t>(end - state.requestSequence) > 0);
 }
 
-void flow_agent::beginRequest(flow_state &state, core::time_point now)
+void flow_agent::beginRequest(flow_state &state, std::uint8_t priority, core::duration held,
+                              core::time_point now)
 {
     state.requestAt = now;
+    state.priority = priority;
+    state.held = held;
     m_load.begin(now);
 }
 
@@ -115,7 +118,7 @@
         return;
     }
     if (begins)
-        beginRequest(state, now);
+        beginRequest(state, head.tag.priority, {}, now);
     if (head.payloadSize > 0) {
         const std::uint32_t end = head.sequence + head.payloadSize;
         if (state.requestSequence == 0
@@ -129,10 +132,11 @@
 {
     m_gate.release(
             now, [this] { return m_load.running(); },
-            [&](const flow_key &key, std::span<const core::byte_vector> packets) {
+            [&](const flow_key &key, const request_gate::release_info &info,
+                std::span<const core::byte_vector> packets) {
                 const auto found = m_flows.find(key);
                 if (found != m_flows.end())
-                    beginRequest(found->second, now);
+                    beginRequest(found->second, info.priority, info.held, now);
                 for (const core::byte_vector &packet : packets) {
                     if (const auto head = m_codec.decode(packet); head && found != m_flows.end())
                         found->second.requestSequence = head->sequence + head->payloadSize;
@@ -165,6 +169,7 @@
     if ((head->payloadSize > 0 || head->resets || head->finishes)
         && state.requestAt != core::time_point {}) {
         m_load.end(now - state.requestAt, now);
+        m_observer.answered({ state.priority, state.held, now - state.requestAt });
         state.requestAt = {};
     }
 }
--- a/packages/flow/src/request_gate.cpp
+++ b/packages/flow/src/request_gate.cpp
@@ -39,7 +39,7 @@
         const flow_key key = chosen->first;
         const held_request request = std::move(chosen->second);
         m_held.erase(chosen);
-        onRelease(key, request.packets);
+        onRelease(key, { request.priority, now - request.since }, request.packets);
     }
 }
 
--- a/packages/flow/tests/entry_balancer_test.cpp
+++ b/packages/flow/tests/entry_balancer_test.cpp
@@ -245,6 +245,21 @@
     CHECK_EQUAL(1, output.toClients.size());
 }
 
+// Packets to an upstream that is gone vanish; the flow may be elsewhere after a wrong claim, and
+// its client is told if it is nowhere.
+TEST(entry_balancer, FlowOfAGoneUpstreamIsSearched)
+{
+    publish(0);
+    balancer.receiveMessage(3, flow_claim { { { client, ordersAddress } } }, atMilliseconds(5));
+    upstreams.upstreams.erase(upstreams.upstreams.begin() + 2);
+    publish(1000);
+    publish(2000);
+    receive(packet(), 2010);
+
+    CHECK_TRUE(output.toAgents.size() > 1);
+    CHECK_TRUE(output.toAgents[0].head.tag.kind == instruction::probe);
+}
+
 TEST(entry_balancer, RemovedUpstreamWithALivingAgentMustDeny)
 {
     publish(0);
--- a/packages/flow/tests/flow_world.cpp
+++ b/packages/flow/tests/flow_world.cpp
@@ -299,8 +299,8 @@
         reply.source = head.destination;
         reply.destination = head.source;
         reply.acknowledges = true;
-        at(50us, [this, &item, life = item.agentLife, reply] {
-            if (item.agentLife != life)
+        at(50us, [this, &item, life = item.agentLife, incarnation = item.incarnation, reply] {
+            if (item.agentLife != life || !item.alive || item.incarnation != incarnation)
                 return;
             item.agent->receiveFromUpstream(fake_codec::encode(reply), m_now);
             wakeAgent(item);
@@ -495,9 +495,8 @@
         }
         break;
     case 9: { // an upstream is added, and the rotation changes before all know of it
-        const auto absent = std::ranges::find_if(m_upstreams, [](const auto &each) {
-            return each->incarnation == 0;
-        });
+        const auto absent = std::ranges::find_if(
+                m_upstreams, [](const auto &each) { return each->incarnation == 0; });
         if (absent == m_upstreams.end())
             break;
         startUpstream(**absent);
--- a/packages/runtime/include/oriolehold/runtime/settings.h
+++ b/packages/runtime/include/oriolehold/runtime/settings.h
@@ -81,11 +81,12 @@
     std::string file; // that they were read from
     std::string instance;
     std::string zone;
-    core::endpoint packets;    // packets of clients and of other processes
-    std::uint16_t peerPort {}; // messages between processes, the same on all instances
-    core::endpoint store;      // published routes and upstreams; entry instances only
+    core::endpoint packets;            // packets of clients and of other processes
+    std::uint16_t peerPort {};         // messages between processes, the same on all instances
+    core::endpoint store;              // published routes and upstreams; entry instances only
     std::vector<core::endpoint> seeds; // other entry instances; only their addresses count
     core::endpoint admin;
+    core::endpoint metrics; // a second address of the same interface; optional
     std::string readyPath = "/readyz";
     std::chrono::seconds drainLimit { 5 };
     // The upstream beside an agent; agents only.
--- a/packages/runtime/src/settings.cpp
+++ b/packages/runtime/src/settings.cpp
@@ -60,18 +60,17 @@
     std::vector<core::endpoint> result;
     if (!root.has(name))
         return result;
-    root.elements(name, 0, maxPeers,
-                  [&](const nlohmann::json &element, const std::string &path) {
-                      const auto address = element.is_string()
-                              ? parseEndpoint(element.get_ref<const std::string &>())
-                              : std::nullopt;
-                      if (!address)
-                          errors.report(path, std::string(internal::addressRule));
-                      else if (std::ranges::find(result, *address) != result.end())
-                          errors.report(path, "a value that no other element has");
-                      else
-                          result.push_back(*address);
-                  });
+    root.elements(name, 0, maxPeers, [&](const nlohmann::json &element, const std::string &path) {
+        const auto address = element.is_string()
+                ? parseEndpoint(element.get_ref<const std::string &>())
+                : std::nullopt;
+        if (!address)
+            errors.report(path, std::string(internal::addressRule));
+        else if (std::ranges::find(result, *address) != result.end())
+            errors.report(path, "a value that no other element has");
+        else
+            result.push_back(*address);
+    });
     return result;
 }
 
@@ -153,6 +152,8 @@
     settings.packets = root.address("packets");
     settings.peerPort = root.integer<std::uint16_t>("peer_port");
     settings.admin = root.address("admin");
+    if (root.has("metrics"))
+        settings.metrics = root.address("metrics");
     settings.readyPath =
             root.textOr("ready_path", settings.readyPath, isPath, "a path that starts with '/'");
     settings.drainLimit = std::chrono::seconds { root.integerOr(
--- /dev/null
+++ b/packages/runtime/tests/flow_settings_test.cpp
@@ -0,0 +1,60 @@
+#include "oriolehold/runtime/settings.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace oriolehold;
+using namespace oriolehold::runtime;
+
+namespace {
+
+const std::string common =
+        R"("instance":"a","zone":"z","packets":"10.0.0.1:7000","peer_port":7001,)"
+        R"("admin":"10.0.0.1:7002")";
+
+// The path of the wrong value, or an empty text.
+template<typename Parse>
+std::string wrongPath(Parse parse, const std::string &json)
+{
+    std::string path;
+    boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<void> {
+                BOOST_LEAF_CHECK(parse(json));
+                return {};
+            },
+            [&](const settings_error &error) { path = error.path; }, [&] { path = "unknown"; });
+    return path;
+}
+
+} // namespace
+
+TEST_GROUP(flow_settings) {};
+
+TEST(flow_settings, EntryNeedsTheStore)
+{
+    STRCMP_EQUAL("store", wrongPath(parseFlowEntrySettings, "{" + common + "}").c_str());
+    STRCMP_EQUAL("",
+                 wrongPath(parseFlowEntrySettings,
+                           "{" + common
+                                   + R"(,"store":"10.0.0.9:80","seeds":[],)"
+                                     R"("metrics":"10.0.0.1:9464"})")
+                         .c_str());
+}
+
+TEST(flow_settings, AgentNeedsItsUpstream)
+{
+    STRCMP_EQUAL("service", wrongPath(parseFlowAgentSettings, "{" + common + "}").c_str());
+    STRCMP_EQUAL("",
+                 wrongPath(parseFlowAgentSettings,
+                           "{" + common
+                                   + R"(,"service":"s","upstream":"10.0.0.1:8000",)"
+                                     R"("upstream_packets":"10.0.0.1:8001"})")
+                         .c_str());
+}
+
+TEST(flow_settings, UnknownFieldIsAnError)
+{
+    STRCMP_EQUAL(
+            "extra",
+            wrongPath(parseFlowEntrySettings, "{" + common + R"(,"store":"10.0.0.9:80","extra":1})")
+                    .c_str());
+}
