--- a/packages/flow/include/oriolehold/flow/read_schedule.h
+++ b/packages/flow/include/oriolehold/flow/read_schedule.h
@@ -12,14 +12,14 @@
 public:
     // Changes must be in force within 3 s of their publication at the shortest. A read and two
     // missed turns fit into it.
-    static constexpr std::chrono::milliseconds interval { 1000 };
+    static constexpr std::chrono::milliseconds interval { 1100 };
     // Upper end of the offsets.
     static constexpr std::chrono::milliseconds maxOffset { 600 };
     // After a read that gave nothing, while there is a view and while there is none.
     static constexpr std::chrono::milliseconds retryInterval { 1000 };
     static constexpr std::chrono::milliseconds firstRetryInterval { 400 };
     // Between reads that a decision waits for.
-    static constexpr std::chrono::milliseconds urgentInterval { 250 };
+    static constexpr std::chrono::milliseconds urgentInterval { 100 };
 
     // number is random and decides the offset.
     explicit read_schedule(std::uint64_t number);
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -29,9 +29,7 @@
 // A restarted instance that the store turns away asks its seeds so often.
 constexpr core::duration seedInterval = 200ms;
 // A search that waits for a newer list is looked at again after this time.
-constexpr core::duration searchInterval = 50ms;
-// News are aged by their time on the way.
-constexpr core::duration newsDelay = 100ms;
+constexpr core::duration searchInterval = 20ms;
 
 std::uint32_t secondsOf(core::time_point now)
 {
@@ -294,7 +292,7 @@
             return false;
         // The flow is gone when all who may hold it deny it, by a list that is younger than the
         // search: an upstream that only others know of yet would be in it.
-        const bool gone = m_directory.readAt() > state.startedAt + newsDelay;
+        const bool gone = m_directory.readAt() > state.startedAt;
         m_searchNeedsRead = m_searchNeedsRead || !gone;
         if (gone)
             resetClient(state.lastHead, "no upstream holds the flow", now);
--- a/packages/flow/src/view_exchange.cpp
+++ b/packages/flow/src/view_exchange.cpp
@@ -84,7 +84,7 @@
 bool view_exchange::receiveNews(std::uint32_t machine, const view_news &news, core::time_point now)
 {
     const bool newerList = news.upstreamRevision >= m_upstreams.revision && news.upstreamDigest != 0
-            && now - news.age > m_readAt;
+            && now - news.age - transferTime > m_readAt;
     const view_request request { news.configurationVersion > m_configuration.version,
                                  newerList && news.upstreamDigest != m_digest };
     if (request.configuration || request.upstreams)
@@ -93,7 +93,7 @@
         return false;
     // The same content, confirmed by a newer read.
     m_upstreams.revision = news.upstreamRevision;
-    m_readAt = now - news.age;
+    m_readAt = now - news.age - transferTime;
     m_listener.upstreamsRead(m_upstreams, m_readAt, now);
     return true;
 }
@@ -114,7 +114,7 @@
     }
     const auto bytes = assemble(m_upstreamPages, page);
     const auto list = bytes ? m_codec.decodeUpstreams(*bytes) : std::nullopt;
-    return list && setUpstreams(*list, page.id, now - page.age, now);
+    return list && setUpstreams(*list, page.id, now - page.age - transferTime, now);
 }
 
 std::optional<core::byte_vector> view_exchange::assemble(assembly &state, const view_page &page)
--- a/packages/flow/tests/entry_balancer_test.cpp
+++ b/packages/flow/tests/entry_balancer_test.cpp
@@ -203,6 +203,20 @@
     CHECK_TRUE(balancer.readDue(atMilliseconds(300)));
 }
 
+// A client of a lost flow can still meet its latency objective if it is told at once.
+TEST(entry_balancer, ListReadRightAfterTheDenialsEndsTheSearch)
+{
+    publish(0);
+    receive(packet(), 1000);
+    denyAll(1002);
+    balancer.tick(atMilliseconds(1003));
+    CHECK_TRUE(balancer.readDue(atMilliseconds(1003)));
+    publish(1004);
+    balancer.tick(atMilliseconds(1008));
+
+    CHECK_EQUAL(1, output.toClients.size());
+}
+
 TEST(entry_balancer, FlowIsNotResetWhenANewUpstreamWasNotAsked)
 {
     publish(0);
