--- a/packages/entry/include/oriolehold/entry/flow_entry_daemon.h
+++ b/packages/entry/include/oriolehold/entry/flow_entry_daemon.h
@@ -60,6 +60,7 @@
     void receivePackets();
     void receiveMessages();
     core::duration idle();
+    void updateReadiness(core::time_point now);
     void requestRead(core::time_point now);
     void readViews();
     void readOnce();
@@ -88,6 +89,7 @@
     std::unique_ptr<flow::view_source> m_source; // control thread only
     bool m_storeReachable = true;                // control thread only
     bool m_reading = false;                      // traffic thread only
+    bool m_wasReady = false;                     // traffic thread only
     std::mutex m_controlMutex;
     std::condition_variable m_controlWake;
     bool m_readRequested = false;              // guarded by m_controlMutex
--- a/packages/entry/src/flow_entry_daemon.cpp
+++ b/packages/entry/src/flow_entry_daemon.cpp
@@ -124,17 +124,27 @@
     m_messages.flush();
     if (m_balancer.readDue(now) && !m_reading)
         requestRead(now);
-    if (!m_ready.load() && m_balancer.ready(now)) {
-        m_ready.store(true);
-        runtime::log(log_event::processReady,
-                     { { "version", m_balancer.view().configuration().version },
-                       { "flows", m_balancer.knownFlows() } });
-    }
+    updateReadiness(now);
     const std::scoped_lock lock(m_metricsMutex);
     m_published = m_balancer.counters();
     return m_ready.load() ? wait : std::min(wait, readyInterval);
 }
 
+void flow_entry_daemon::updateReadiness(core::time_point now)
+{
+    const bool isReady = m_balancer.ready(now);
+    if (m_ready.exchange(isReady) == isReady)
+        return;
+    if (!isReady)
+        runtime::log(log_event::isolated, { { "flows", m_balancer.knownFlows() } });
+    else if (std::exchange(m_wasReady, true))
+        runtime::log(log_event::isolationEnded);
+    else
+        runtime::log(log_event::processReady,
+                     { { "version", m_balancer.view().configuration().version },
+                       { "flows", m_balancer.knownFlows() } });
+}
+
 void flow_entry_daemon::requestRead(core::time_point now)
 {
     m_reading = true;
--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -68,8 +68,10 @@
     // Runs what is due and returns the time until the next call is needed.
     core::duration tick(core::time_point now);
 
-    // Whether it can place new flows and was told of the open ones.
+    // Whether it can place new flows, was told of the open ones and is not isolated.
     bool ready(core::time_point now) const;
+    // Whether all agents are silent, so that packets would go nowhere.
+    bool isolated(core::time_point now) const;
 
     const view_exchange &view() const { return m_view; }
     const upstream_directory &directory() const { return m_directory; }
@@ -144,6 +146,7 @@
     core::time_point m_nextSeedRequest {};
     core::time_point m_nextExpiry {};
     core::time_point m_greetedAt {};
+    core::time_point m_agentHeardAt {}; // the last message of any agent
     bool m_searchNeedsRead = false; // a search waits for a newer list
     core::byte_vector m_scratch;
     entry_counters m_counters;
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -15,6 +15,9 @@
 // milliseconds, so this covers a lost datagram.
 constexpr core::duration greetingTime = 150ms;
 constexpr core::duration expiryInterval = 1s;
+// Each agent reports every 200 ms. When none is heard for so long, this instance is cut off and
+// clients are served better by another one.
+constexpr core::duration isolationTime = 700ms;
 // Flows older than 60 s may be discarded; idle ones earlier.
 constexpr std::uint32_t ownerLifetime = 60;       // seconds since the last packet
 constexpr std::uint32_t unconfirmedLifetime = 5;  // seconds; clients stop after 1.4 s
@@ -224,6 +227,8 @@
 void entry_balancer::receiveMessage(std::uint32_t machine, const peer_message &message,
                                     core::time_point now)
 {
+    if (m_directory.find(machine) != nullptr)
+        m_agentHeardAt = now;
     if (const auto *report = std::get_if<load_report>(&message))
         m_directory.report(machine, *report, now);
     else if (const auto *claimed = std::get_if<flow_claim>(&message))
@@ -416,10 +421,16 @@
     return std::max(next - now, core::duration::zero());
 }
 
+bool entry_balancer::isolated(core::time_point now) const
+{
+    return m_greetedAt != core::time_point {}
+    && now - std::max(m_agentHeardAt, m_greetedAt) > isolationTime;
+}
+
 bool entry_balancer::ready(core::time_point now) const
 {
     return m_view.configuration().version != 0 && m_greetedAt != core::time_point {}
-    && now - m_greetedAt >= greetingTime;
+    && now - m_greetedAt >= greetingTime && !isolated(now);
 }
 
 } // namespace oriolehold::flow
--- a/packages/flow/tests/entry_balancer_test.cpp
+++ b/packages/flow/tests/entry_balancer_test.cpp
@@ -460,6 +460,17 @@
     CHECK_TRUE(balancer.ready(atMilliseconds(200)));
 }
 
+// An instance that is cut off from all agents went on taking flows and sent them nowhere.
+TEST(entry_balancer, InstanceThatHearsNoAgentIsNotReady)
+{
+    publish(0);
+    balancer.receiveMessage(1, load_report {}, atMilliseconds(500));
+    CHECK_TRUE(balancer.ready(atMilliseconds(1100)));
+    CHECK_FALSE(balancer.ready(atMilliseconds(1300)));
+    balancer.receiveMessage(2, load_report {}, atMilliseconds(1400));
+    CHECK_TRUE(balancer.ready(atMilliseconds(1500)));
+}
+
 TEST(entry_balancer, MalformedPacketIsCounted)
 {
     const core::byte_vector bytes { 1, 2, 3 };
