--- a/packages/daemon/include/oriolehold/daemon/managed_process.h
+++ b/packages/daemon/include/oriolehold/daemon/managed_process.h
@@ -34,8 +34,8 @@
     std::string cutOff; // remainingWork() at the stop
 };
 
-// Blocks SIGTERM, SIGINT and SIGHUP for the calling thread and all threads that it starts. Must be called
-// before the first thread starts.
+// Blocks SIGTERM, SIGINT and SIGHUP for the calling thread and all threads that it starts. Must be
+// called before the first thread starts.
 void blockStopSignals();
 
 // Starts the process and returns after it was stopped. The first SIGTERM or SIGINT drains; a second
--- a/packages/entry/include/oriolehold/entry/flow_entry_daemon.h
+++ b/packages/entry/include/oriolehold/entry/flow_entry_daemon.h
@@ -92,7 +92,7 @@
     bool m_wasReady = false;                     // traffic thread only
     std::mutex m_controlMutex;
     std::condition_variable m_controlWake;
-    bool m_readRequested = false;              // guarded by m_controlMutex
+    bool m_readRequested = false;             // guarded by m_controlMutex
     std::optional<core::endpoint> m_newStore; // guarded by m_controlMutex
     admin::admin_server m_admin;
 
--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -89,8 +89,8 @@
         // Of the upstream's service when the flow was placed or claimed. The address may serve
         // another one since.
         std::uint32_t serviceDigest = 0;
-        std::uint8_t refusals = 0;  // of the opening packet
-        bool confirmed = false;     // an agent said that the flow is open there
+        std::uint8_t refusals = 0; // of the opening packet
+        bool confirmed = false;    // an agent said that the flow is open there
     };
     struct candidate
     {
@@ -147,7 +147,7 @@
     core::time_point m_nextExpiry {};
     core::time_point m_greetedAt {};
     core::time_point m_agentHeardAt {}; // the last message of any agent
-    bool m_searchNeedsRead = false; // a search waits for a newer list
+    bool m_searchNeedsRead = false;     // a search waits for a newer list
     core::byte_vector m_scratch;
     entry_counters m_counters;
 };
--- a/packages/flow/include/oriolehold/flow/view_exchange.h
+++ b/packages/flow/include/oriolehold/flow/view_exchange.h
@@ -38,8 +38,8 @@
 public:
     // Payload of one page, in bytes; the datagram stays below 1,300 bytes.
     static constexpr std::size_t pageSize = 1100;
-    // Longest time that news and pages are expected to be on their way. What is heard counts as that
-    // much older than its sender says.
+    // Longest time that news and pages are expected to be on their way. What is heard counts as
+    // that much older than its sender says.
     static constexpr std::chrono::milliseconds transferTime { 100 };
 
     // The references must outlive the object.
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -280,7 +280,8 @@
 {
     m_searchNeedsRead = false;
     boost::unordered::erase_if(m_searches, [&](const auto &item) {
-        const auto &[key, state] = item;
+        const flow_key &key = item.first;
+        const search &state = item.second;
         if (now - state.lastPacketAt > searchLifetime)
             return true;
         const flow_route *route = routeOf(key.service);
--- a/packages/flow/src/placement_policy.cpp
+++ b/packages/flow/src/placement_policy.cpp
@@ -39,8 +39,8 @@
 // Whether the agent or its upstream does not answer, or refused a flow shortly before.
 bool isAvoided(const known_upstream &item, core::time_point now)
 {
-    return item.avoidUntil > now || !item.report.responsive || item.reportedAt == core::time_point {}
-    || now - item.reportedAt > silenceLimit;
+    return item.avoidUntil > now || !item.report.responsive
+            || item.reportedAt == core::time_point {} || now - item.reportedAt > silenceLimit;
 }
 
 } // namespace
--- a/packages/flow/tests/flow_fakes.h
+++ b/packages/flow/tests/flow_fakes.h
@@ -74,19 +74,19 @@
 public:
     core::byte_vector encode(const flow_configuration &configuration) const override
     {
-        return remember(configurations, configuration);
+        return remember(m_configurations, configuration);
     }
     core::byte_vector encode(const upstream_list &list) const override
     {
-        return remember(lists, list);
+        return remember(m_lists, list);
     }
     std::optional<flow_configuration> decodeConfiguration(core::byte_view bytes) const override
     {
-        return recall(configurations, bytes);
+        return recall(m_configurations, bytes);
     }
     std::optional<upstream_list> decodeUpstreams(core::byte_view bytes) const override
     {
-        return recall(lists, bytes);
+        return recall(m_lists, bytes);
     }
 
 private:
@@ -113,8 +113,8 @@
         return known[index - 1];
     }
 
-    mutable std::vector<flow_configuration> configurations;
-    mutable std::vector<upstream_list> lists;
+    mutable std::vector<flow_configuration> m_configurations;
+    mutable std::vector<upstream_list> m_lists;
 };
 
 class recording_observer final : public entry_observer
--- a/packages/flow/tests/flow_world.cpp
+++ b/packages/flow/tests/flow_world.cpp
@@ -96,7 +96,7 @@
     }
 
 private:
-    void deliver(std::uint32_t machine, std::function<void(upstream &)> action)
+    void deliver(std::uint32_t machine, const std::function<void(upstream &)> &action)
     {
         if (machine == 0 || machine > upstreamCount || m_world.chance(lossPercent))
             return;
@@ -144,7 +144,7 @@
     }
 
 private:
-    void deliver(std::uint32_t machine, std::function<void(entry &)> action)
+    void deliver(std::uint32_t machine, const std::function<void(entry &)> &action)
     {
         if (machine < firstEntry || m_world.chance(lossPercent))
             return;
