--- a/packages/agent/src/flow_agent_daemon.cpp
+++ b/packages/agent/src/flow_agent_daemon.cpp
@@ -1,22 +1,15 @@
 #include "oriolehold/agent/flow_agent_daemon.h"
 
 #include "oriolehold/daemon/flow_settings_support.h"
+#include "oriolehold/daemon/system_random.h"
 #include "oriolehold/runtime/log_events.h"
 
-#include <random>
-
 namespace oriolehold::agent {
 
 namespace {
 
 using runtime::log_event;
 
-std::uint64_t randomNumber()
-{
-    std::random_device device;
-    return std::uint64_t { device() } << 32 | device();
-}
-
 } // namespace
 
 void flow_agent_daemon::socket_output::sendToUpstream(core::byte_view packet)
@@ -47,7 +40,8 @@
     : m_settings(settings), m_packets(settings.packets), m_upstream(settings.upstreamPackets),
       m_messages({ settings.packets.address, settings.peerPort }),
       m_output(m_packets, m_upstream, m_messages, settings.upstream), m_log(settings.service),
-      m_agent({ randomNumber(), settings.service }, codec, m_documents, m_output, m_log),
+      m_agent({ daemon::systemRandomNumber(), settings.service }, codec, m_documents, m_output,
+              m_log),
       m_admin(daemon::adminAddresses(settings), *this)
 { }
 
--- /dev/null
+++ b/packages/core/include/oriolehold/core/hash.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+
+// Hashes that several processes compute alike.
+
+namespace oriolehold::core {
+
+// Finalizer of SplitMix64: spreads all bits of a value.
+constexpr std::uint64_t mixBits(std::uint64_t value)
+{
+    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
+    return value ^ (value >> 31);
+}
+
+// FNV-1a, 64 bits.
+template<typename Byte>
+constexpr std::uint64_t fnv1a(std::span<const Byte> bytes)
+{
+    std::uint64_t hash = 0xcbf29ce484222325ULL;
+    for (const Byte byte : bytes)
+        hash = (hash ^ static_cast<std::uint8_t>(byte)) * 0x100000001b3ULL;
+    return hash;
+}
+
+} // namespace oriolehold::core
--- a/packages/core/src/rendezvous.cpp
+++ b/packages/core/src/rendezvous.cpp
@@ -1,5 +1,7 @@
 #include "oriolehold/core/rendezvous.h"
 
+#include "oriolehold/core/hash.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -7,14 +9,6 @@
 
 namespace {
 
-// Finalizer of SplitMix64.
-std::uint64_t mix(std::uint64_t value)
-{
-    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
-    value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
-    return value ^ (value >> 31);
-}
-
 bool isLive(const upstream *item)
 {
     return item->state == upstream_state::live;
@@ -27,12 +21,12 @@
     const auto pack = [](const endpoint &value) {
         return std::uint64_t { value.address } << 16 | value.port;
     };
-    return mix(mix(pack(caller)) + pack(service));
+    return mixBits(mixBits(pack(caller)) + pack(service));
 }
 
 double rendezvousScore(flow_key key, const upstream &upstream)
 {
-    const std::uint64_t hash = mix(key ^ mix(toInteger(upstream.id) + 1ULL));
+    const std::uint64_t hash = mixBits(key ^ mixBits(toInteger(upstream.id) + 1ULL));
     // Uniform over (0, 1), so that the logarithm is finite and negative.
     const double uniform = (static_cast<double>(hash >> 11) + 0.5) * 0x1.0p-53;
     return -upstream.slots * upstream.strength / std::log(uniform);
--- a/packages/daemon/include/oriolehold/daemon/decision_log.h
+++ b/packages/daemon/include/oriolehold/daemon/decision_log.h
@@ -9,7 +9,7 @@
 
 namespace oriolehold::daemon {
 
-class decision_log final : public flow::entry_observer
+class decision_log final : public flow::flow_observer
 {
 public:
     // service names the upstream beside an agent; empty at an entry instance.
--- a/packages/entry/src/flow_entry_daemon.cpp
+++ b/packages/entry/src/flow_entry_daemon.cpp
@@ -1,10 +1,10 @@
 #include "oriolehold/entry/flow_entry_daemon.h"
 
 #include "oriolehold/daemon/flow_settings_support.h"
+#include "oriolehold/daemon/system_random.h"
 #include "oriolehold/runtime/log_events.h"
 
 #include <algorithm>
-#include <random>
 #include <utility>
 
 namespace oriolehold::entry {
@@ -19,12 +19,6 @@
 // The platform takes an instance out of rotation after this number of refused checks.
 constexpr unsigned checksUntilRemoved = 2;
 
-std::uint64_t randomNumber()
-{
-    std::random_device device;
-    return std::uint64_t { device() } << 32 | device();
-}
-
 std::vector<std::uint32_t> machinesOf(std::span<const core::endpoint> addresses)
 {
     std::vector<std::uint32_t> result(addresses.size());
@@ -56,7 +50,7 @@
                                      const view_source_factory &makeSource)
     : m_settings(settings), m_makeSource(makeSource), m_packets(settings.packets),
       m_messages({ settings.packets.address, settings.peerPort }), m_output(m_packets, m_messages),
-      m_log({}), m_random(randomNumber()), m_policy(m_random),
+      m_log({}), m_random(daemon::systemRandomNumber()), m_policy(m_random),
       m_balancer({ m_random.next(), settings.zone, machinesOf(settings.seeds) }, codec, m_documents,
                  m_policy, m_output, m_log),
       m_source(makeSource(settings.store, m_stopped)),
--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -52,7 +52,7 @@
     // The references must outlive the object.
     entry_balancer(entry_identity identity, const packet_codec &codec,
                    const document_codec &documents, placement_policy &policy, entry_output &output,
-                   entry_observer &observer);
+                   flow_observer &observer);
 
     // A packet from a client, or one that an agent gave back.
     void receivePacket(core::byte_view packet, core::time_point now);
@@ -134,7 +134,7 @@
     const packet_codec &m_codec;
     placement_policy &m_policy;
     entry_output &m_output;
-    entry_observer &m_observer;
+    flow_observer &m_observer;
 
     view_exchange m_view;
     read_schedule m_schedule;
--- a/packages/flow/include/oriolehold/flow/flow_agent.h
+++ b/packages/flow/include/oriolehold/flow/flow_agent.h
@@ -51,7 +51,7 @@
 public:
     // The references must outlive the object.
     flow_agent(const agent_identity &identity, const packet_codec &codec,
-               const document_codec &documents, agent_output &output, entry_observer &observer);
+               const document_codec &documents, agent_output &output, flow_observer &observer);
 
     void receiveFromEntry(const core::endpoint &entry, core::byte_view packet,
                           core::time_point now);
@@ -124,7 +124,7 @@
     const std::uint32_t m_serviceDigest;
     const packet_codec &m_codec;
     agent_output &m_output;
-    entry_observer &m_observer;
+    flow_observer &m_observer;
 
     boost::unordered_flat_map<flow_key, flow_state, flow_key_hash> m_flows;
     std::size_t m_openFlows = 0;
--- a/packages/flow/include/oriolehold/flow/flow_observer.h
+++ b/packages/flow/include/oriolehold/flow/flow_observer.h
@@ -45,10 +45,10 @@
     core::duration service {}; // until the first part of the answer
 };
 
-class entry_observer
+class flow_observer
 {
 public:
-    virtual ~entry_observer() = default;
+    virtual ~flow_observer() = default;
     // By default nothing is done; entry instances see no requests.
     virtual void answered(const request_times &) { }
     virtual void decided(const flow_decision &decision) = 0;
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -43,7 +43,7 @@
 
 entry_balancer::entry_balancer(entry_identity identity, const packet_codec &codec,
                                const document_codec &documents, placement_policy &policy,
-                               entry_output &output, entry_observer &observer)
+                               entry_output &output, flow_observer &observer)
     : m_identity(std::move(identity)), m_codec(codec), m_policy(policy), m_output(output),
       m_observer(observer), m_view(documents, output, *this), m_schedule(m_identity.bootId)
 { }
--- a/packages/flow/src/flow_agent.cpp
+++ b/packages/flow/src/flow_agent.cpp
@@ -35,7 +35,7 @@
 
 flow_agent::flow_agent(const agent_identity &identity, const packet_codec &codec,
                        const document_codec &documents, agent_output &output,
-                       entry_observer &observer)
+                       flow_observer &observer)
     : m_bootId(identity.bootId), m_serviceDigest(serviceDigest(identity.service)), m_codec(codec),
       m_output(output), m_observer(observer), m_view(documents, output, *this)
 { }
--- a/packages/flow/src/packet.cpp
+++ b/packages/flow/src/packet.cpp
@@ -1,5 +1,7 @@
 #include "oriolehold/flow/packet.h"
 
+#include "oriolehold/core/hash.h"
+
 namespace oriolehold::flow {
 
 namespace {
@@ -9,18 +11,6 @@
 constexpr std::uint32_t priorityMask = 0xf;
 constexpr std::uint32_t valueMask = (1U << priorityShift) - 1;
 
-// FNV-1a, 64 bits.
-constexpr std::uint64_t fnvOffset = 0xcbf29ce484222325ULL;
-constexpr std::uint64_t fnvPrime = 0x100000001b3ULL;
-
-// Finalizer of SplitMix64.
-std::uint64_t mix(std::uint64_t value)
-{
-    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
-    value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
-    return value ^ (value >> 31);
-}
-
 std::uint64_t bitsOf(const core::endpoint &value)
 {
     return std::uint64_t { value.address } << 16 | value.port;
@@ -30,7 +20,7 @@
 
 std::size_t flow_key_hash::operator()(const flow_key &key) const noexcept
 {
-    return mix(mix(bitsOf(key.client)) + bitsOf(key.service));
+    return core::mixBits(core::mixBits(bitsOf(key.client)) + bitsOf(key.service));
 }
 
 std::string toString(const flow_key &key)
@@ -55,10 +45,8 @@
 
 std::uint32_t serviceDigest(std::string_view serviceName)
 {
-    std::uint64_t hash = fnvOffset;
-    for (const char c : serviceName)
-        hash = (hash ^ static_cast<std::uint8_t>(c)) * fnvPrime;
-    return static_cast<std::uint32_t>(mix(hash)) & valueMask;
+    const std::uint64_t hash = core::fnv1a(std::span<const char>(serviceName));
+    return static_cast<std::uint32_t>(core::mixBits(hash)) & valueMask;
 }
 
 } // namespace oriolehold::flow
--- a/packages/flow/src/view_exchange.cpp
+++ b/packages/flow/src/view_exchange.cpp
@@ -1,5 +1,7 @@
 #include "oriolehold/flow/view_exchange.h"
 
+#include "oriolehold/core/hash.h"
+
 #include <algorithm>
 
 namespace oriolehold::flow {
@@ -9,10 +11,6 @@
 // A larger document is not assembled; 4 MB hold 60,000 upstreams.
 constexpr std::uint16_t maxPages = 4096;
 
-// FNV-1a, 64 bits.
-constexpr std::uint64_t fnvOffset = 0xcbf29ce484222325ULL;
-constexpr std::uint64_t fnvPrime = 0x100000001b3ULL;
-
 } // namespace
 
 view_exchange::view_exchange(const document_codec &codec, message_output &output,
@@ -24,11 +22,10 @@
 {
     upstream_list content = list;
     content.revision = 0;
-    std::uint64_t hash = fnvOffset;
     for (upstream_record &record : content.upstreams)
         record.warmUpLeft = {}; // it counts down in every read; the first one is kept
-    for (const std::uint8_t byte : m_codec.encode(content))
-        hash = (hash ^ byte) * fnvPrime;
+    const core::byte_vector bytes = m_codec.encode(content);
+    const std::uint64_t hash = core::fnv1a(core::byte_view(bytes));
     return std::max<std::uint64_t>(hash, 1);
 }
 
--- a/packages/flow/tests/flow_fakes.h
+++ b/packages/flow/tests/flow_fakes.h
@@ -117,7 +117,7 @@
     mutable std::vector<upstream_list> m_lists;
 };
 
-class recording_observer final : public entry_observer
+class recording_observer final : public flow_observer
 {
 public:
     void decided(const flow_decision &decision) override { ++decisions[decision.kind]; }
