--- a/packages/core/include/oriolehold/core/hash.h
+++ b/packages/base/include/oriolehold/base/hash.h
@@ -5,7 +5,7 @@
 
 // Hashes that several processes compute alike.
 
-namespace oriolehold::core {
+namespace oriolehold::base {
 
 // Finalizer of SplitMix64: spreads all bits of a value.
 constexpr std::uint64_t mixBits(std::uint64_t value)
@@ -25,4 +25,4 @@
     return hash;
 }
 
-} // namespace oriolehold::core
+} // namespace oriolehold::base
--- a/packages/core/src/types.cpp
+++ b/packages/base/src/types.cpp
@@ -1,6 +1,6 @@
-#include "oriolehold/core/types.h"
+#include "oriolehold/base/types.h"
 
-namespace oriolehold::core {
+namespace oriolehold::base {
 
 std::string toString(const endpoint &value)
 {
@@ -37,4 +37,4 @@
     return value ^ (value >> 31);
 }
 
-} // namespace oriolehold::core
+} // namespace oriolehold::base
--- a/packages/core/include/oriolehold/core/types.h
+++ b/packages/core/include/oriolehold/core/types.h
@@ -1,105 +1,28 @@
 #pragma once
 
-#include <chrono>
-#include <compare>
-#include <cstddef>
-#include <cstdint>
-#include <functional>
-#include <span>
-#include <string>
-#include <type_traits>
-#include <vector>
+#include "oriolehold/base/types.h"
 
-// Basic value types that all packages share.
+// The shared value types under the names that the core uses.
 
 namespace oriolehold::core {
 
-using byte_view = std::span<const std::uint8_t>;
-using byte_vector = std::vector<std::uint8_t>;
-
-using duration = std::chrono::microseconds;
-
-// Time line of the core: microseconds since the Unix epoch. The daemons derive it from the
-// monotonic clock, anchored once at start; tests and randomised runs set it freely.
-struct core_clock
-{
-    using duration = core::duration;
-    using rep = duration::rep;
-    using period = duration::period;
-    using time_point = std::chrono::time_point<core_clock>;
-    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): std name
-};
-using time_point = core_clock::time_point;
-
-// Whole seconds since the Unix epoch.
-inline std::uint32_t unixSeconds(time_point time)
-{
-    return static_cast<std::uint32_t>(
-            std::chrono::duration_cast<std::chrono::seconds>(time.time_since_epoch()).count());
-}
-
-// Largest difference between the clocks of two machines that is tolerated.
-inline constexpr std::chrono::seconds clockTolerance { 5 };
-
-enum class service_id : std::uint16_t {};
-enum class upstream_id : std::uint16_t {};
-enum class entry_id : std::uint16_t {};
-// Tells a restarted agent from its former self. 0 means "unknown".
-enum class incarnation : std::uint32_t { unknown = 0 };
-
-// The underlying integer of an identifier.
-template<typename Enum>
-constexpr std::underlying_type_t<Enum> toInteger(Enum value)
-{
-    return static_cast<std::underlying_type_t<Enum>>(value);
-}
-
-// Number of a published configuration. 0 means "none yet".
-using generation_number = std::uint64_t;
-// Idempotency key of a non-idempotent request, 48 bits.
-using ticket_number = std::uint64_t;
-
-// IPv4 address and UDP port, both in host byte order.
-struct endpoint
-{
-    std::uint32_t address = 0;
-    std::uint16_t port = 0;
-
-    // clang-tidy 14 takes the defaulted operator for a null pointer constant.
-    auto operator<=>(const endpoint &) const = default; // NOLINT(modernize-use-nullptr)
-    bool isNull() const { return address == 0 && port == 0; }
-};
-
-// "a.b.c.d:port"
-std::string toString(const endpoint &value);
-
-struct endpoint_hash
-{
-    std::size_t operator()(const endpoint &value) const noexcept;
-};
-
-// Source of random numbers. Injected, so that runs repeat by seed.
-class random_source
-{
-public:
-    virtual ~random_source() = default;
-    // Uniform over all 64-bit values.
-    virtual std::uint64_t next() = 0;
-    // Uniform over [0, bound); bound must be positive.
-    std::uint64_t below(std::uint64_t bound);
-    // Uniform over [0, 1).
-    double unit();
-};
-
-// Deterministic generator (SplitMix64) for tests and, seeded from the system, for daemons.
-class seeded_random final : public random_source
-{
-public:
-    explicit seeded_random(std::uint64_t seed) : m_state(seed) { }
-    std::uint64_t next() override;
-
-private:
-    std::uint64_t m_state;
-};
+using base::byte_vector;
+using base::byte_view;
+using base::clockTolerance;
+using base::duration;
+using base::endpoint;
+using base::endpoint_hash;
+using base::entry_id;
+using base::generation_number;
+using base::incarnation;
+using base::random_source;
+using base::seeded_random;
+using base::service_id;
+using base::ticket_number;
+using base::time_point;
+using base::toInteger;
+using base::toString;
+using base::unixSeconds;
+using base::upstream_id;
 
 } // namespace oriolehold::core
--- a/packages/core/src/rendezvous.cpp
+++ b/packages/core/src/rendezvous.cpp
@@ -1,6 +1,6 @@
 #include "oriolehold/core/rendezvous.h"
 
-#include "oriolehold/core/hash.h"
+#include "oriolehold/base/hash.h"
 
 #include <algorithm>
 #include <cmath>
@@ -21,12 +21,12 @@
     const auto pack = [](const endpoint &value) {
         return std::uint64_t { value.address } << 16 | value.port;
     };
-    return mixBits(mixBits(pack(caller)) + pack(service));
+    return base::mixBits(base::mixBits(pack(caller)) + pack(service));
 }
 
 double rendezvousScore(flow_key key, const upstream &upstream)
 {
-    const std::uint64_t hash = mixBits(key ^ mixBits(toInteger(upstream.id) + 1ULL));
+    const std::uint64_t hash = base::mixBits(key ^ base::mixBits(toInteger(upstream.id) + 1ULL));
     // Uniform over (0, 1), so that the logarithm is finite and negative.
     const double uniform = (static_cast<double>(hash >> 11) + 0.5) * 0x1.0p-53;
     return -upstream.slots * upstream.strength / std::log(uniform);
--- a/packages/daemon/include/oriolehold/daemon/flow_settings_support.h
+++ b/packages/daemon/include/oriolehold/daemon/flow_settings_support.h
@@ -16,6 +16,6 @@
                                                      const flow_settings_loader &load);
 
 // Where the interface for operators listens: the admin address and that of the metrics.
-std::vector<core::endpoint> adminAddresses(const runtime::flow_settings &settings);
+std::vector<base::endpoint> adminAddresses(const runtime::flow_settings &settings);
 
 } // namespace oriolehold::daemon
--- a/packages/daemon/src/decision_log.cpp
+++ b/packages/daemon/src/decision_log.cpp
@@ -49,7 +49,7 @@
     return log_event::internalError;
 }
 
-std::int64_t milliseconds(core::duration value)
+std::int64_t milliseconds(base::duration value)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
 }
@@ -81,7 +81,7 @@
                               .total = decision.elapsed });
     const std::string key = toString(decision.flow);
     const std::string machine =
-            decision.machine == 0 ? std::string() : core::toString({ decision.machine, 0 });
+            decision.machine == 0 ? std::string() : base::toString({ decision.machine, 0 });
     runtime::log(eventOf(decision.kind),
                  { { "flow", key },
                    { "machine", std::string_view(machine).substr(0, machine.find(':')) },
@@ -98,7 +98,7 @@
 void decision_log::changed(const flow::directory_change &change)
 {
     runtime::log(eventOf(change.what),
-                 { { "upstream", change.id }, { "address", core::toString(change.address) } });
+                 { { "upstream", change.id }, { "address", base::toString(change.address) } });
 }
 
 void decision_log::routesChanged(const flow::flow_configuration &configuration)
--- a/packages/daemon/src/flow_settings_support.cpp
+++ b/packages/daemon/src/flow_settings_support.cpp
@@ -32,9 +32,9 @@
             });
 }
 
-std::vector<core::endpoint> adminAddresses(const runtime::flow_settings &settings)
+std::vector<base::endpoint> adminAddresses(const runtime::flow_settings &settings)
 {
-    std::vector<core::endpoint> result { settings.admin };
+    std::vector<base::endpoint> result { settings.admin };
     if (!settings.metrics.isNull())
         result.push_back(settings.metrics);
     return result;
--- a/packages/daemon/tests/flow_settings_support_test.cpp
+++ b/packages/daemon/tests/flow_settings_support_test.cpp
@@ -29,7 +29,7 @@
             });
 
     CHECK_TRUE(fresh.has_value());
-    CHECK_TRUE((fresh->store == core::endpoint { 3, 4 }));
+    CHECK_TRUE((fresh->store == base::endpoint { 3, 4 }));
 }
 
 TEST(flow_settings_support, UnchangedSettingsAreNotReturned)
--- a/packages/entry/tests/traffic_worker_test.cpp
+++ b/packages/entry/tests/traffic_worker_test.cpp
@@ -143,7 +143,7 @@
 
     core::flow_token_bytes makeToken() const
     {
-        const auto now = std::chrono::time_point<core::core_clock> {
+        const auto now = std::chrono::time_point<base::timeline_clock> {
             std::chrono::duration_cast<core::duration>(
                     std::chrono::system_clock::now().time_since_epoch())
         };
--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -21,8 +21,8 @@
 class entry_output : public message_output
 {
 public:
-    virtual void sendToAgent(std::uint32_t machine, core::byte_view packet) = 0;
-    virtual void sendToClient(std::uint32_t client, core::byte_view packet) = 0;
+    virtual void sendToAgent(std::uint32_t machine, base::byte_view packet) = 0;
+    virtual void sendToClient(std::uint32_t client, base::byte_view packet) = 0;
 };
 
 struct entry_identity
@@ -55,23 +55,23 @@
                    flow_observer &observer);
 
     // A packet from a client, or one that an agent gave back.
-    void receivePacket(core::byte_view packet, core::time_point now);
-    void receiveMessage(std::uint32_t machine, const peer_message &message, core::time_point now);
+    void receivePacket(base::byte_view packet, base::time_point now);
+    void receiveMessage(std::uint32_t machine, const peer_message &message, base::time_point now);
 
     // Whether the store should be read now. The reader calls begin, then finish or fail.
-    bool readDue(core::time_point now) const;
-    void beginRead(core::time_point now);
+    bool readDue(base::time_point now) const;
+    void beginRead(base::time_point now);
     // configuration is empty when it did not change.
     void finishRead(const std::optional<flow_configuration> &configuration,
-                    const upstream_list &upstreams, core::time_point readAt, core::time_point now);
+                    const upstream_list &upstreams, base::time_point readAt, base::time_point now);
 
     // Runs what is due and returns the time until the next call is needed.
-    core::duration tick(core::time_point now);
+    base::duration tick(base::time_point now);
 
     // Whether it can place new flows, was told of the open ones and is not isolated.
-    bool ready(core::time_point now) const;
+    bool ready(base::time_point now) const;
     // Whether all agents are silent, so that packets would go nowhere.
-    bool isolated(core::time_point now) const;
+    bool isolated(base::time_point now) const;
 
     const view_exchange &view() const { return m_view; }
     const upstream_directory &directory() const { return m_directory; }
@@ -99,35 +99,35 @@
     };
     struct search
     {
-        core::time_point startedAt {};
-        core::time_point lastPacketAt {};
+        base::time_point startedAt {};
+        base::time_point lastPacketAt {};
         std::vector<candidate> candidates;
         std::size_t asked = 0; // the first candidates were sent a probe
         packet_head lastHead;
     };
 
     void routesChanged(const flow_configuration &configuration) override;
-    void upstreamsRead(const upstream_list &list, core::time_point readAt,
-                       core::time_point now) override;
+    void upstreamsRead(const upstream_list &list, base::time_point readAt,
+                       base::time_point now) override;
     std::vector<std::uint32_t> relays() const;
-    const flow_route *routeOf(const core::endpoint &service) const;
-    void receiveFromClient(const packet_head &head, core::byte_view packet, core::time_point now);
-    void receiveReturned(const packet_head &head, core::byte_view packet, core::time_point now);
-    void open(const packet_head &head, core::byte_view packet, const flow_route &route,
-              core::time_point now);
-    std::uint8_t priorityOf(const core::endpoint &service) const;
-    void forward(const owner &item, const core::endpoint &service, core::byte_view packet);
+    const flow_route *routeOf(const base::endpoint &service) const;
+    void receiveFromClient(const packet_head &head, base::byte_view packet, base::time_point now);
+    void receiveReturned(const packet_head &head, base::byte_view packet, base::time_point now);
+    void open(const packet_head &head, base::byte_view packet, const flow_route &route,
+              base::time_point now);
+    std::uint8_t priorityOf(const base::endpoint &service) const;
+    void forward(const owner &item, const base::endpoint &service, base::byte_view packet);
     void probe(const flow_key &key, const flow_route &route, const packet_head &head,
-               core::byte_view packet, std::uint32_t except, core::time_point now);
+               base::byte_view packet, std::uint32_t except, base::time_point now);
     void deny(const flow_key &key, std::uint32_t machine);
-    void claim(const flow_key &key, std::uint32_t machine, core::time_point now);
+    void claim(const flow_key &key, std::uint32_t machine, base::time_point now);
     // Resets the client if that is safe, else drops the packet.
     void refuse(const packet_head &head, std::string_view reason, bool certain,
-                core::time_point now);
-    void resetClient(const packet_head &head, std::string_view reason, core::time_point now);
-    void concludeSearches(core::time_point now);
-    void expireOwners(core::time_point now);
-    void greetAgents(core::time_point now);
+                base::time_point now);
+    void resetClient(const packet_head &head, std::string_view reason, base::time_point now);
+    void concludeSearches(base::time_point now);
+    void expireOwners(base::time_point now);
+    void greetAgents(base::time_point now);
     const std::string &chooseService(const flow_route &route, const flow_key &key) const;
 
     const entry_identity m_identity;
@@ -138,17 +138,17 @@
 
     view_exchange m_view;
     read_schedule m_schedule;
-    boost::unordered_flat_map<core::endpoint, std::size_t, core::endpoint_hash> m_routes;
+    boost::unordered_flat_map<base::endpoint, std::size_t, base::endpoint_hash> m_routes;
     upstream_directory m_directory;
     boost::unordered_flat_map<flow_key, owner, flow_key_hash> m_owners;
     boost::unordered_flat_map<flow_key, search, flow_key_hash> m_searches;
-    core::time_point m_nextHello {};
-    core::time_point m_nextSeedRequest {};
-    core::time_point m_nextExpiry {};
-    core::time_point m_greetedAt {};
-    core::time_point m_agentHeardAt {}; // the last message of any agent
+    base::time_point m_nextHello {};
+    base::time_point m_nextSeedRequest {};
+    base::time_point m_nextExpiry {};
+    base::time_point m_greetedAt {};
+    base::time_point m_agentHeardAt {}; // the last message of any agent
     bool m_searchNeedsRead = false;     // a search waits for a newer list
-    core::byte_vector m_scratch;
+    base::byte_vector m_scratch;
     entry_counters m_counters;
 };
 
--- a/packages/flow/include/oriolehold/flow/flow_agent.h
+++ b/packages/flow/include/oriolehold/flow/flow_agent.h
@@ -21,9 +21,9 @@
 class agent_output : public message_output
 {
 public:
-    virtual void sendToUpstream(core::byte_view packet) = 0;
-    virtual void sendToClient(std::uint32_t client, core::byte_view packet) = 0;
-    virtual void sendToEntry(const core::endpoint &entry, core::byte_view packet) = 0;
+    virtual void sendToUpstream(base::byte_view packet) = 0;
+    virtual void sendToClient(std::uint32_t client, base::byte_view packet) = 0;
+    virtual void sendToEntry(const base::endpoint &entry, base::byte_view packet) = 0;
 };
 
 struct agent_counters
@@ -53,12 +53,12 @@
     flow_agent(const agent_identity &identity, const packet_codec &codec,
                const document_codec &documents, agent_output &output, flow_observer &observer);
 
-    void receiveFromEntry(const core::endpoint &entry, core::byte_view packet,
-                          core::time_point now);
-    void receiveFromUpstream(core::byte_view packet, core::time_point now);
-    void receiveMessage(std::uint32_t machine, const peer_message &message, core::time_point now);
+    void receiveFromEntry(const base::endpoint &entry, base::byte_view packet,
+                          base::time_point now);
+    void receiveFromUpstream(base::byte_view packet, base::time_point now);
+    void receiveMessage(std::uint32_t machine, const peer_message &message, base::time_point now);
     // Runs what is due and returns the time until the next call is needed.
-    core::duration tick(core::time_point now);
+    base::duration tick(base::time_point now);
 
     const load_meter &load() const { return m_load; }
     std::size_t openFlows() const { return m_openFlows; }
@@ -67,9 +67,9 @@
 private:
     struct flow_state
     {
-        core::time_point lastSeen {};
-        core::time_point requestAt {};     // epoch: no request at the upstream
-        core::duration held {};            // of that request
+        base::time_point lastSeen {};
+        base::time_point requestAt {};     // epoch: no request at the upstream
+        base::duration held {};            // of that request
         std::uint32_t requestSequence = 0; // after the last data that was counted
         std::uint8_t priority = 0;         // of that request
         bool open = false;
@@ -79,46 +79,46 @@
     {
         std::uint64_t bootId = 0;
         std::string zone;
-        core::time_point heardAt {};
+        base::time_point heardAt {};
     };
     struct pending_probe
     {
         flow_key key;
-        core::time_point deliveredAt {};
+        base::time_point deliveredAt {};
     };
     // An opening packet that the upstream has not answered yet.
     struct pending_opening
     {
         flow_key key;
-        core::endpoint entry;
-        core::time_point giveBackAt {};
-        core::byte_vector packet;
+        base::endpoint entry;
+        base::time_point giveBackAt {};
+        base::byte_vector packet;
     };
 
     // An agent decides nothing by the view; it holds it for entry instances.
     void routesChanged(const flow_configuration &) override { }
-    void upstreamsRead(const upstream_list &, core::time_point, core::time_point) override { }
+    void upstreamsRead(const upstream_list &, base::time_point, base::time_point) override { }
 
-    std::uint32_t relayOf(const core::endpoint &entry);
-    void receiveReturned(const packet_head &head, core::byte_view packet, core::time_point now);
+    std::uint32_t relayOf(const base::endpoint &entry);
+    void receiveReturned(const packet_head &head, base::byte_view packet, base::time_point now);
     // Whether the packet begins a request that was not seen yet.
     static bool beginsRequest(const flow_state &state, const packet_head &head);
-    void beginRequest(flow_state &state, std::uint8_t priority, core::duration held,
-                      core::time_point now);
+    void beginRequest(flow_state &state, std::uint8_t priority, base::duration held,
+                      base::time_point now);
     // Sends the packet to the upstream, or holds it while the upstream is busy.
     void deliver(const flow_key &key, flow_state &state, const packet_head &head,
-                 core::time_point now);
-    void releaseHeld(core::time_point now);
-    void giveBack(const core::endpoint &entry, packet_tag::instruction kind,
-                  core::byte_view packet);
-    void opened(const flow_key &key, flow_state &state, core::time_point now);
-    void forget(const flow_key &key, core::time_point now);
+                 base::time_point now);
+    void releaseHeld(base::time_point now);
+    void giveBack(const base::endpoint &entry, packet_tag::instruction kind,
+                  base::byte_view packet);
+    void opened(const flow_key &key, flow_state &state, base::time_point now);
+    void forget(const flow_key &key, base::time_point now);
     void announce(const flow_claim &claim);
     void sendAllFlows(std::uint32_t machine);
-    void claimProbed(core::time_point now);
-    void giveBackUnanswered(core::time_point now);
-    void expire(core::time_point now);
-    void reportLoad(core::time_point now);
+    void claimProbed(base::time_point now);
+    void giveBackUnanswered(base::time_point now);
+    void expire(base::time_point now);
+    void reportLoad(base::time_point now);
 
     const std::uint64_t m_bootId;
     const std::uint32_t m_serviceDigest;
@@ -129,17 +129,17 @@
     boost::unordered_flat_map<flow_key, flow_state, flow_key_hash> m_flows;
     std::size_t m_openFlows = 0;
     boost::unordered_flat_map<std::uint32_t, known_entry> m_entries; // by machine address
-    std::vector<core::endpoint> m_relays;
+    std::vector<base::endpoint> m_relays;
     std::deque<pending_probe> m_probes;     // in the order of their times
     std::deque<pending_opening> m_openings; // in the order of their times
-    core::time_point m_upstreamHeardAt {};  // its last packet
+    base::time_point m_upstreamHeardAt {};  // its last packet
     std::uint32_t m_unanswered = 0;         // packets without an answer since then
     load_meter m_load;
     request_gate m_gate;
     view_exchange m_view;
-    core::time_point m_nextReport {};
-    core::time_point m_nextExpiry {};
-    core::byte_vector m_scratch;
+    base::time_point m_nextReport {};
+    base::time_point m_nextExpiry {};
+    base::byte_vector m_scratch;
     agent_counters m_counters;
 };
 
--- a/packages/flow/include/oriolehold/flow/flow_observer.h
+++ b/packages/flow/include/oriolehold/flow/flow_observer.h
@@ -30,9 +30,9 @@
     std::string_view upstream {}; // its id
     std::string_view reason {};
     std::uint64_t configurationVersion = 0;
-    core::duration viewAge {};    // since the list of upstreams was read
-    core::duration reportAge {};  // since the agent's last report
-    core::duration elapsed {};    // of a search
+    base::duration viewAge {};    // since the list of upstreams was read
+    base::duration reportAge {};  // since the agent's last report
+    base::duration elapsed {};    // of a search
     std::uint32_t running = 0;    // requests at the chosen upstream
     std::uint32_t candidates = 0; // considered or asked
 };
@@ -41,8 +41,8 @@
 struct request_times
 {
     std::uint8_t priority = 0; // of its route
-    core::duration held {};    // before it was given to the upstream
-    core::duration service {}; // until the first part of the answer
+    base::duration held {};    // before it was given to the upstream
+    base::duration service {}; // until the first part of the answer
 };
 
 class flow_observer
--- a/packages/flow/include/oriolehold/flow/load_meter.h
+++ b/packages/flow/include/oriolehold/flow/load_meter.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "oriolehold/core/types.h"
+#include "oriolehold/base/types.h"
 
 namespace oriolehold::flow {
 
@@ -11,25 +11,25 @@
     // Time constant of the mean number of requests.
     static constexpr std::chrono::milliseconds averagingTime { 1000 };
 
-    void begin(core::time_point now);
+    void begin(base::time_point now);
     // elapsed is the time since the request's begin().
-    void end(core::duration elapsed, core::time_point now);
+    void end(base::duration elapsed, base::time_point now);
     // A request ended without an answer.
-    void abandon(core::time_point now);
+    void abandon(base::time_point now);
 
     std::uint32_t running() const { return m_running; }
     // Thousandths.
-    std::uint32_t meanRunning(core::time_point now) const;
-    core::duration meanServiceTime() const { return m_meanServiceTime; }
+    std::uint32_t meanRunning(base::time_point now) const;
+    base::duration meanServiceTime() const { return m_meanServiceTime; }
 
 private:
-    double meanAt(core::time_point now) const;
-    void advance(core::time_point now);
+    double meanAt(base::time_point now) const;
+    void advance(base::time_point now);
 
     std::uint32_t m_running = 0;
     double m_mean = 0.0;
-    core::time_point m_meanAt {};
-    core::duration m_meanServiceTime {};
+    base::time_point m_meanAt {};
+    base::duration m_meanServiceTime {};
 };
 
 } // namespace oriolehold::flow
--- a/packages/flow/include/oriolehold/flow/packet.h
+++ b/packages/flow/include/oriolehold/flow/packet.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "oriolehold/core/types.h"
+#include "oriolehold/base/types.h"
 
 #include <optional>
 #include <string>
@@ -13,8 +13,8 @@
 // The two ends of a flow. The service end is the published address of a route.
 struct flow_key
 {
-    core::endpoint client;
-    core::endpoint service;
+    base::endpoint client;
+    base::endpoint service;
 
     bool operator==(const flow_key &) const = default;
 };
@@ -61,8 +61,8 @@
 // The decoded head of a packet, in either direction.
 struct packet_head
 {
-    core::endpoint source;
-    core::endpoint destination;
+    base::endpoint source;
+    base::endpoint destination;
     bool opens = false;        // first packet of an end
     bool acknowledges = false; // the acknowledgement number is valid
     bool finishes = false;
@@ -94,12 +94,12 @@
 public:
     virtual ~packet_codec() = default;
     // An empty optional when the bytes are not a packet.
-    virtual std::optional<packet_head> decode(core::byte_view packet) const = 0;
+    virtual std::optional<packet_head> decode(base::byte_view packet) const = 0;
     // Copies a packet with another tag, and without the mark of a returned packet.
-    virtual void copyTagged(core::byte_view packet, const packet_tag &tag,
-                            core::byte_vector &copy) const = 0;
+    virtual void copyTagged(base::byte_view packet, const packet_tag &tag,
+                            base::byte_vector &copy) const = 0;
     // A reset that answers a client's packet.
-    virtual void writeReset(const packet_head &clientPacket, core::byte_vector &reset) const = 0;
+    virtual void writeReset(const packet_head &clientPacket, base::byte_vector &reset) const = 0;
 };
 
 } // namespace oriolehold::flow
--- a/packages/flow/include/oriolehold/flow/peer_message.h
+++ b/packages/flow/include/oriolehold/flow/peer_message.h
@@ -17,7 +17,7 @@
     std::uint64_t configurationVersion = 0;
     std::uint64_t upstreamRevision = 0;
     std::uint64_t upstreamDigest = 0; // over the list without its revision
-    core::duration age {};            // time since the read was begun
+    base::duration age {};            // time since the read was begun
 
     bool operator==(const view_news &) const = default;
 };
@@ -38,10 +38,10 @@
 {
     document_kind kind = document_kind::configuration;
     std::uint64_t id = 0; // version of a configuration, digest of a list of upstreams
-    core::duration age {};
+    base::duration age {};
     std::uint16_t index = 0;
     std::uint16_t count = 0;
-    core::byte_vector bytes;
+    base::byte_vector bytes;
 
     bool operator==(const view_page &) const = default;
 };
@@ -63,7 +63,7 @@
     std::uint32_t running = 0;     // requests at the upstream
     std::uint32_t meanRunning = 0; // thousandths, mean over the last second
     std::uint32_t openFlows = 0;
-    core::duration meanServiceTime {}; // request to first part of the answer
+    base::duration meanServiceTime {}; // request to first part of the answer
     bool responsive = true;            // the upstream answers opening packets
 
     bool operator==(const load_report &) const = default;
--- a/packages/flow/include/oriolehold/flow/placement_policy.h
+++ b/packages/flow/include/oriolehold/flow/placement_policy.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "oriolehold/core/types.h"
+#include "oriolehold/base/types.h"
 #include "oriolehold/flow/upstream_directory.h"
 
 #include <span>
@@ -15,7 +15,7 @@
     virtual ~placement_policy() = default;
     // Returns one of the candidates, or nullptr when there is none. zone is that of the client.
     virtual known_upstream *choose(std::span<known_upstream *const> candidates,
-                                   std::string_view zone, core::time_point now) = 0;
+                                   std::string_view zone, base::time_point now) = 0;
 };
 
 // The upstream with the least expected load per slot. Expected load is what its agent reported,
@@ -23,13 +23,13 @@
 class least_load_policy final : public placement_policy
 {
 public:
-    explicit least_load_policy(core::random_source &random) : m_random(random) { }
+    explicit least_load_policy(base::random_source &random) : m_random(random) { }
 
     known_upstream *choose(std::span<known_upstream *const> candidates, std::string_view zone,
-                           core::time_point now) override;
+                           base::time_point now) override;
 
 private:
-    core::random_source &m_random;
+    base::random_source &m_random;
 };
 
 } // namespace oriolehold::flow
--- a/packages/flow/include/oriolehold/flow/read_schedule.h
+++ b/packages/flow/include/oriolehold/flow/read_schedule.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "oriolehold/core/types.h"
+#include "oriolehold/base/types.h"
 
 namespace oriolehold::flow {
 
@@ -25,16 +25,16 @@
     explicit read_schedule(std::uint64_t number);
 
     // readAt is the time of the read that the view rests on; complete tells whether there is one.
-    bool due(core::time_point now, core::time_point readAt, bool complete) const;
+    bool due(base::time_point now, base::time_point readAt, bool complete) const;
     // The same when a decision waits for a newer view.
-    bool urgentlyDue(core::time_point now) const { return now >= m_begunAt + urgentInterval; }
+    bool urgentlyDue(base::time_point now) const { return now >= m_begunAt + urgentInterval; }
     // Time of the next turn if nothing changes.
-    core::time_point next(core::time_point readAt, bool complete) const;
-    void begin(core::time_point now) { m_begunAt = now; }
+    base::time_point next(base::time_point readAt, bool complete) const;
+    void begin(base::time_point now) { m_begunAt = now; }
 
 private:
     std::chrono::milliseconds m_offset;
-    core::time_point m_begunAt {};
+    base::time_point m_begunAt {};
 };
 
 } // namespace oriolehold::flow
--- a/packages/flow/include/oriolehold/flow/request_gate.h
+++ b/packages/flow/include/oriolehold/flow/request_gate.h
@@ -39,32 +39,32 @@
     // Keeps a packet of a request. The first packet of a flow starts the wait; retransmissions are
     // dropped.
     void hold(const flow_key &key, std::uint8_t priority, std::uint32_t sequence,
-              core::byte_view packet, core::time_point now);
+              base::byte_view packet, base::time_point now);
     void forget(const flow_key &key) { m_held.erase(key); }
 
     struct release_info
     {
         std::uint8_t priority = 0;
-        core::duration held {};
+        base::duration held {};
     };
     using released = std::function<void(const flow_key &, const release_info &,
-                                        std::span<const core::byte_vector>)>;
+                                        std::span<const base::byte_vector>)>;
     // Lets requests through while the upstream can take them, and those that waited too long.
     // running tells the present number and counts those that were let through.
-    void release(core::time_point now, const std::function<std::uint32_t()> &running,
+    void release(base::time_point now, const std::function<std::uint32_t()> &running,
                  const released &onRelease);
 
     std::size_t held() const { return m_held.size(); }
     // Time of the next forced release; the maximum when none is held.
-    core::time_point next() const;
+    base::time_point next() const;
 
 private:
     struct held_request
     {
         std::uint8_t priority = 0; // 0 is the most urgent
-        core::time_point since {};
+        base::time_point since {};
         std::vector<std::uint32_t> sequences;
-        std::vector<core::byte_vector> packets;
+        std::vector<base::byte_vector> packets;
     };
 
     boost::unordered_flat_map<flow_key, held_request, flow_key_hash> m_held;
--- a/packages/flow/include/oriolehold/flow/routing_view.h
+++ b/packages/flow/include/oriolehold/flow/routing_view.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "oriolehold/core/types.h"
+#include "oriolehold/base/types.h"
 
 #include <boost/leaf.hpp>
 
@@ -24,7 +24,7 @@
 // A published address and the services that may take its new flows.
 struct flow_route
 {
-    core::endpoint address;
+    base::endpoint address;
     std::vector<weighted_service> services;
     std::uint8_t priority = 0; // of its requests; 0 is the most urgent, 15 the least
 
@@ -49,7 +49,7 @@
 {
     std::string id;
     std::string service;
-    core::endpoint address;
+    base::endpoint address;
     std::string zone;
     std::uint32_t slots = 1; // requests that it works on at the same time
     upstream_phase phase = upstream_phase::ready;
--- a/packages/flow/include/oriolehold/flow/upstream_directory.h
+++ b/packages/flow/include/oriolehold/flow/upstream_directory.h
@@ -16,12 +16,12 @@
 {
     upstream_record record;
     bool listed = true; // in the newest list
-    core::time_point seenInList {};
-    core::time_point warmUntil {};
+    base::time_point seenInList {};
+    base::time_point warmUntil {};
     load_report report;
-    core::time_point reportedAt {}; // epoch: never
+    base::time_point reportedAt {}; // epoch: never
     std::uint32_t assignedSinceReport = 0;
-    core::time_point avoidUntil {}; // it refused an opening packet shortly before
+    base::time_point avoidUntil {}; // it refused an opening packet shortly before
 
     std::uint32_t machine() const { return record.address.address; }
 };
@@ -30,7 +30,7 @@
 {
     enum class kind : std::uint8_t { added, removed, phaseChanged, restarted } what;
     std::string id;
-    core::endpoint address;
+    base::endpoint address;
 };
 
 class upstream_directory
@@ -50,9 +50,9 @@
 
     // Takes a list that was read at readAt. Lists that are older than the present one are ignored,
     // and false is returned.
-    bool update(const upstream_list &list, core::time_point readAt, core::time_point now,
+    bool update(const upstream_list &list, base::time_point readAt, base::time_point now,
                 const std::function<void(const directory_change &)> &onChange);
-    void report(std::uint32_t machine, const load_report &report, core::time_point now);
+    void report(std::uint32_t machine, const load_report &report, base::time_point now);
 
     known_upstream *find(std::uint32_t machine);
     const known_upstream *find(std::uint32_t machine) const;
@@ -61,19 +61,19 @@
     // All machines that may hold a flow of one of the services, likely ones first.
     std::vector<std::uint32_t> owners(const flow_route &route, std::string_view zone) const;
     // Whether the upstream on the machine is known to hold no flow.
-    bool isGone(std::uint32_t machine, core::time_point now) const;
+    bool isGone(std::uint32_t machine, base::time_point now) const;
     std::vector<std::uint32_t> machines() const;
 
     bool empty() const { return m_upstreams.empty(); }
     std::uint64_t revision() const { return m_revision; }
     // Time of the read that the view rests on; epoch before the first.
-    core::time_point readAt() const { return m_readAt; }
+    base::time_point readAt() const { return m_readAt; }
 
 private:
     boost::unordered_flat_map<std::uint32_t, known_upstream> m_upstreams; // by machine address
     std::uint64_t m_revision = 0;
-    core::time_point m_readAt {};
-    core::time_point m_outageEndedAt {};
+    base::time_point m_readAt {};
+    base::time_point m_outageEndedAt {};
 };
 
 } // namespace oriolehold::flow
--- a/packages/flow/include/oriolehold/flow/view_exchange.h
+++ b/packages/flow/include/oriolehold/flow/view_exchange.h
@@ -15,11 +15,11 @@
 {
 public:
     virtual ~document_codec() = default;
-    virtual core::byte_vector encode(const flow_configuration &configuration) const = 0;
-    virtual core::byte_vector encode(const upstream_list &list) const = 0;
+    virtual base::byte_vector encode(const flow_configuration &configuration) const = 0;
+    virtual base::byte_vector encode(const upstream_list &list) const = 0;
     // Empty optionals when the bytes are malformed.
-    virtual std::optional<flow_configuration> decodeConfiguration(core::byte_view bytes) const = 0;
-    virtual std::optional<upstream_list> decodeUpstreams(core::byte_view bytes) const = 0;
+    virtual std::optional<flow_configuration> decodeConfiguration(base::byte_view bytes) const = 0;
+    virtual std::optional<upstream_list> decodeUpstreams(base::byte_view bytes) const = 0;
 };
 
 // Learns what is now believed. readAt is the time of the read that the content rests on.
@@ -29,8 +29,8 @@
     virtual ~view_listener() = default;
     virtual void routesChanged(const flow_configuration &configuration) = 0;
     // Called for each list that is newer, also when its content is the same.
-    virtual void upstreamsRead(const upstream_list &list, core::time_point readAt,
-                               core::time_point now) = 0;
+    virtual void upstreamsRead(const upstream_list &list, base::time_point readAt,
+                               base::time_point now) = 0;
 };
 
 class view_exchange
@@ -47,33 +47,33 @@
 
     // Content that this process read itself.
     void readConfiguration(const flow_configuration &configuration);
-    void readUpstreams(const upstream_list &list, core::time_point readAt, core::time_point now);
+    void readUpstreams(const upstream_list &list, base::time_point readAt, base::time_point now);
 
     // Handles news, requests and pages; other messages are ignored. Returns whether the view became
     // newer.
-    bool receive(std::uint32_t machine, const peer_message &message, core::time_point now);
+    bool receive(std::uint32_t machine, const peer_message &message, base::time_point now);
 
-    view_news news(core::time_point now) const;
+    view_news news(base::time_point now) const;
     bool complete() const { return m_configuration.version != 0 && m_digest != 0; }
     // Time of the read that the list of upstreams rests on; epoch before the first.
-    core::time_point readAt() const { return m_readAt; }
+    base::time_point readAt() const { return m_readAt; }
     const flow_configuration &configuration() const { return m_configuration; }
 
 private:
     struct assembly
     {
         std::uint64_t id = 0;
-        std::vector<core::byte_vector> pages;
+        std::vector<base::byte_vector> pages;
         std::size_t missing = 0;
     };
 
-    bool receiveNews(std::uint32_t machine, const view_news &news, core::time_point now);
-    bool receivePage(const view_page &page, core::time_point now);
-    bool setUpstreams(const upstream_list &list, std::uint64_t digest, core::time_point readAt,
-                      core::time_point now);
+    bool receiveNews(std::uint32_t machine, const view_news &news, base::time_point now);
+    bool receivePage(const view_page &page, base::time_point now);
+    bool setUpstreams(const upstream_list &list, std::uint64_t digest, base::time_point readAt,
+                      base::time_point now);
     void sendDocument(std::uint32_t machine, document_kind kind, std::uint64_t id,
-                      core::byte_view bytes, core::time_point now);
-    static std::optional<core::byte_vector> assemble(assembly &state, const view_page &page);
+                      base::byte_view bytes, base::time_point now);
+    static std::optional<base::byte_vector> assemble(assembly &state, const view_page &page);
     std::uint64_t digestOf(const upstream_list &list) const;
 
     const document_codec &m_codec;
@@ -82,7 +82,7 @@
     flow_configuration m_configuration;
     upstream_list m_upstreams;
     std::uint64_t m_digest = 0; // of m_upstreams; 0: none yet
-    core::time_point m_readAt {};
+    base::time_point m_readAt {};
     assembly m_configurationPages;
     assembly m_upstreamPages;
 };
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -10,33 +10,33 @@
 using instruction = packet_tag::instruction;
 
 // Agents forget an entry instance that is silent for several of these.
-constexpr core::duration helloInterval = 500ms;
+constexpr base::duration helloInterval = 500ms;
 // Agents answer the first hello with the flows that they hold; a round trip takes a few
 // milliseconds, so this covers a lost datagram.
-constexpr core::duration greetingTime = 150ms;
-constexpr core::duration expiryInterval = 1s;
+constexpr base::duration greetingTime = 150ms;
+constexpr base::duration expiryInterval = 1s;
 // Each agent reports every 200 ms. When none is heard for so long, this instance is cut off and
 // clients are served better by another one.
-constexpr core::duration isolationTime = 700ms;
+constexpr base::duration isolationTime = 700ms;
 // Flows older than 60 s may be discarded; idle ones earlier.
 constexpr std::uint32_t ownerLifetime = 60;       // seconds since the last packet
 constexpr std::uint32_t unconfirmedLifetime = 5;  // seconds; clients stop after 1.4 s
-constexpr core::duration searchLifetime = 4s;     // without a packet of the client
+constexpr base::duration searchLifetime = 4s;     // without a packet of the client
 constexpr std::uint8_t maxRefusals = 3;           // of one opening packet
-constexpr core::duration refusalAvoidance = 50ms; // an upstream's queue empties in that order
+constexpr base::duration refusalAvoidance = 50ms; // an upstream's queue empties in that order
 // Probes of one packet. Small services are asked as a whole; of large ones further packets ask the
 // rest.
 constexpr std::size_t probesPerPacket = 12;
 // Agents that pass the news of a read on. Two may be lost at a time.
 constexpr std::size_t relayCount = 3;
 // A restarted instance that the store turns away asks its seeds so often.
-constexpr core::duration seedInterval = 200ms;
+constexpr base::duration seedInterval = 200ms;
 // A search that waits for a newer list is looked at again after this time.
-constexpr core::duration searchInterval = 20ms;
+constexpr base::duration searchInterval = 20ms;
 
-std::uint32_t secondsOf(core::time_point now)
+std::uint32_t secondsOf(base::time_point now)
 {
-    return core::unixSeconds(now);
+    return base::unixSeconds(now);
 }
 
 } // namespace
@@ -48,7 +48,7 @@
       m_observer(observer), m_view(documents, output, *this), m_schedule(m_identity.bootId)
 { }
 
-const flow_route *entry_balancer::routeOf(const core::endpoint &service) const
+const flow_route *entry_balancer::routeOf(const base::endpoint &service) const
 {
     const auto found = m_routes.find(service);
     return found == m_routes.end() ? nullptr : &m_view.configuration().routes[found->second];
@@ -60,13 +60,13 @@
     return found == m_owners.end() ? 0 : found->second.machine;
 }
 
-std::uint8_t entry_balancer::priorityOf(const core::endpoint &service) const
+std::uint8_t entry_balancer::priorityOf(const base::endpoint &service) const
 {
     const flow_route *route = routeOf(service);
     return route == nullptr ? 0 : route->priority;
 }
 
-void entry_balancer::receivePacket(core::byte_view packet, core::time_point now)
+void entry_balancer::receivePacket(base::byte_view packet, base::time_point now)
 {
     ++m_counters.packets;
     const std::optional<packet_head> head = m_codec.decode(packet);
@@ -80,8 +80,8 @@
         receiveFromClient(*head, packet, now);
 }
 
-void entry_balancer::receiveFromClient(const packet_head &head, core::byte_view packet,
-                                       core::time_point now)
+void entry_balancer::receiveFromClient(const packet_head &head, base::byte_view packet,
+                                       base::time_point now)
 {
     const flow_key key = keyOfClientPacket(head);
     auto known = m_owners.find(key);
@@ -121,8 +121,8 @@
     return route.services.front().name;
 }
 
-void entry_balancer::open(const packet_head &head, core::byte_view packet, const flow_route &route,
-                          core::time_point now)
+void entry_balancer::open(const packet_head &head, base::byte_view packet, const flow_route &route,
+                          base::time_point now)
 {
     const flow_key key = keyOfClientPacket(head);
     auto candidates = m_directory.eligible(chooseService(route, key));
@@ -151,16 +151,16 @@
                          .candidates = static_cast<std::uint32_t>(candidates.size()) });
 }
 
-void entry_balancer::forward(const owner &item, const core::endpoint &service,
-                             core::byte_view packet)
+void entry_balancer::forward(const owner &item, const base::endpoint &service,
+                             base::byte_view packet)
 {
     m_codec.copyTagged(packet, { instruction::deliver, item.serviceDigest, priorityOf(service) },
                        m_scratch);
     m_output.sendToAgent(item.machine, m_scratch);
 }
 
-void entry_balancer::receiveReturned(const packet_head &head, core::byte_view packet,
-                                     core::time_point now)
+void entry_balancer::receiveReturned(const packet_head &head, base::byte_view packet,
+                                     base::time_point now)
 {
     const flow_key key = keyOfClientPacket(head);
     const flow_route *route = routeOf(key.service);
@@ -186,7 +186,7 @@
 }
 
 void entry_balancer::probe(const flow_key &key, const flow_route &route, const packet_head &head,
-                           core::byte_view packet, std::uint32_t except, core::time_point now)
+                           base::byte_view packet, std::uint32_t except, base::time_point now)
 {
     const auto [item, added] = m_searches.try_emplace(key);
     search &state = item->second;
@@ -225,7 +225,7 @@
 }
 
 void entry_balancer::receiveMessage(std::uint32_t machine, const peer_message &message,
-                                    core::time_point now)
+                                    base::time_point now)
 {
     if (m_directory.find(machine) != nullptr)
         m_agentHeardAt = now;
@@ -240,7 +240,7 @@
         m_view.receive(machine, message, now);
 }
 
-void entry_balancer::claim(const flow_key &key, std::uint32_t machine, core::time_point now)
+void entry_balancer::claim(const flow_key &key, std::uint32_t machine, base::time_point now)
 {
     const known_upstream *known = m_directory.find(machine);
     if (known == nullptr)
@@ -276,7 +276,7 @@
         item->denied = true;
 }
 
-void entry_balancer::concludeSearches(core::time_point now)
+void entry_balancer::concludeSearches(base::time_point now)
 {
     m_searchNeedsRead = false;
     boost::unordered::erase_if(m_searches, [&](const auto &item) {
@@ -307,7 +307,7 @@
 }
 
 void entry_balancer::refuse(const packet_head &head, std::string_view reason, bool certain,
-                            core::time_point now)
+                            base::time_point now)
 {
     // Only the first copy of an opening packet: an upstream may have accepted another copy through
     // an entry instance that knows more.
@@ -318,7 +318,7 @@
 }
 
 void entry_balancer::resetClient(const packet_head &head, std::string_view reason,
-                                 core::time_point now)
+                                 base::time_point now)
 {
     m_codec.writeReset(head, m_scratch);
     m_output.sendToClient(head.source.address, m_scratch);
@@ -340,30 +340,30 @@
     m_observer.routesChanged(configuration);
 }
 
-void entry_balancer::upstreamsRead(const upstream_list &list, core::time_point readAt,
-                                   core::time_point now)
+void entry_balancer::upstreamsRead(const upstream_list &list, base::time_point readAt,
+                                   base::time_point now)
 {
-    const bool first = m_directory.readAt() == core::time_point {};
+    const bool first = m_directory.readAt() == base::time_point {};
     m_directory.update(list, readAt, now,
                        [this](const directory_change &change) { m_observer.changed(change); });
     if (first)
         greetAgents(now);
 }
 
-bool entry_balancer::readDue(core::time_point now) const
+bool entry_balancer::readDue(base::time_point now) const
 {
     return m_schedule.due(now, m_view.readAt(), m_view.complete())
             || (m_searchNeedsRead && m_schedule.urgentlyDue(now));
 }
 
-void entry_balancer::beginRead(core::time_point now)
+void entry_balancer::beginRead(base::time_point now)
 {
     m_schedule.begin(now);
 }
 
 void entry_balancer::finishRead(const std::optional<flow_configuration> &configuration,
-                                const upstream_list &upstreams, core::time_point readAt,
-                                core::time_point now)
+                                const upstream_list &upstreams, base::time_point readAt,
+                                base::time_point now)
 {
     if (configuration)
         m_view.readConfiguration(*configuration);
@@ -380,7 +380,7 @@
     return machines;
 }
 
-void entry_balancer::greetAgents(core::time_point now)
+void entry_balancer::greetAgents(base::time_point now)
 {
     for (const std::uint32_t machine : m_directory.machines()) {
         const known_upstream *known = m_directory.find(machine);
@@ -388,11 +388,11 @@
                 machine, entry_hello { m_identity.bootId, m_identity.zone, known->record.slots });
     }
     m_nextHello = now + helloInterval;
-    if (m_greetedAt == core::time_point {} && !m_directory.empty())
+    if (m_greetedAt == base::time_point {} && !m_directory.empty())
         m_greetedAt = now;
 }
 
-void entry_balancer::expireOwners(core::time_point now)
+void entry_balancer::expireOwners(base::time_point now)
 {
     const std::uint32_t seconds = secondsOf(now);
     boost::unordered::erase_if(m_owners, [&](const auto &item) {
@@ -402,7 +402,7 @@
     m_nextExpiry = now + expiryInterval;
 }
 
-core::duration entry_balancer::tick(core::time_point now)
+base::duration entry_balancer::tick(base::time_point now)
 {
     if (now >= m_nextHello)
         greetAgents(now);
@@ -415,22 +415,22 @@
         for (const std::uint32_t machine : m_identity.seeds)
             m_output.sendMessage(machine, view_request { true, true });
     }
-    core::time_point next = std::min(m_nextHello, m_nextExpiry);
+    base::time_point next = std::min(m_nextHello, m_nextExpiry);
     next = std::min(next, m_schedule.next(m_view.readAt(), m_view.complete()));
     if (m_searchNeedsRead)
         next = std::min(next, now + searchInterval);
-    return std::max(next - now, core::duration::zero());
+    return std::max(next - now, base::duration::zero());
 }
 
-bool entry_balancer::isolated(core::time_point now) const
+bool entry_balancer::isolated(base::time_point now) const
 {
-    return m_greetedAt != core::time_point {}
+    return m_greetedAt != base::time_point {}
     && now - std::max(m_agentHeardAt, m_greetedAt) > isolationTime;
 }
 
-bool entry_balancer::ready(core::time_point now) const
+bool entry_balancer::ready(base::time_point now) const
 {
-    return m_view.configuration().version != 0 && m_greetedAt != core::time_point {}
+    return m_view.configuration().version != 0 && m_greetedAt != base::time_point {}
     && now - m_greetedAt >= greetingTime && !isolated(now);
 }
 
--- a/packages/flow/src/flow_agent.cpp
+++ b/packages/flow/src/flow_agent.cpp
@@ -11,25 +11,25 @@
 
 // The upstream is on the same machine and returns a packet of an unknown flow at once. One that it
 // has not returned after this time it has taken, if it lives.
-constexpr core::duration probeTime = 30ms;
+constexpr base::duration probeTime = 30ms;
 // Packets that the upstream sent so long after a probe show that it has seen the probe.
-constexpr core::duration probeDelay = 2ms;
-constexpr core::duration reportInterval = 200ms;
+constexpr base::duration probeDelay = 2ms;
+constexpr base::duration reportInterval = 200ms;
 // An upstream answers an opening packet within milliseconds. One that takes longer has crashed or
 // stands still, and another upstream can still answer before the client repeats the packet at 200
 // ms.
-constexpr core::duration openingTime = 60ms;
+constexpr base::duration openingTime = 60ms;
 // Unanswered opening packets until the upstream is reported as unresponsive; a single one may be
 // lost.
 constexpr std::uint32_t unresponsiveAfter = 2;
 // Six missed greetings.
-constexpr core::duration entrySilence = 3s;
-constexpr core::duration expiryInterval = 1s;
+constexpr base::duration entrySilence = 3s;
+constexpr base::duration expiryInterval = 1s;
 // Flows older than 60 s may be discarded.
-constexpr core::duration openLifetime = 65s;   // since the last packet
-constexpr core::duration offeredLifetime = 5s; // since the last packet; clients stop after 1.4 s
+constexpr base::duration openLifetime = 65s;   // since the last packet
+constexpr base::duration offeredLifetime = 5s; // since the last packet; clients stop after 1.4 s
 // Longest time that a request is counted as running without an answer.
-constexpr core::duration requestLifetime = 3s;
+constexpr base::duration requestLifetime = 3s;
 
 } // namespace
 
@@ -40,7 +40,7 @@
       m_output(output), m_observer(observer), m_view(documents, output, *this)
 { }
 
-std::uint32_t flow_agent::relayOf(const core::endpoint &entry)
+std::uint32_t flow_agent::relayOf(const base::endpoint &entry)
 {
     const auto found = std::ranges::find(m_relays, entry);
     if (found != m_relays.end())
@@ -49,14 +49,14 @@
     return static_cast<std::uint32_t>(m_relays.size() - 1);
 }
 
-void flow_agent::giveBack(const core::endpoint &entry, instruction kind, core::byte_view packet)
+void flow_agent::giveBack(const base::endpoint &entry, instruction kind, base::byte_view packet)
 {
     m_codec.copyTagged(packet, { kind, 0 }, m_scratch);
     m_output.sendToEntry(entry, m_scratch);
 }
 
-void flow_agent::receiveFromEntry(const core::endpoint &entry, core::byte_view packet,
-                                  core::time_point now)
+void flow_agent::receiveFromEntry(const base::endpoint &entry, base::byte_view packet,
+                                  base::time_point now)
 {
     ++m_counters.fromEntries;
     const std::optional<packet_head> head = m_codec.decode(packet);
@@ -91,12 +91,12 @@
 {
     // Sequence numbers wrap around. A retransmission of a request that was answered is no request.
     const std::uint32_t end = head.sequence + head.payloadSize;
-    return head.payloadSize > 0 && state.requestAt == core::time_point {}
+    return head.payloadSize > 0 && state.requestAt == base::time_point {}
     && (state.requestSequence == 0 || static_cast<std::int32_t>(end - state.requestSequence) > 0);
 }
 
-void flow_agent::beginRequest(flow_state &state, std::uint8_t priority, core::duration held,
-                              core::time_point now)
+void flow_agent::beginRequest(flow_state &state, std::uint8_t priority, base::duration held,
+                              base::time_point now)
 {
     state.requestAt = now;
     state.priority = priority;
@@ -105,7 +105,7 @@
 }
 
 void flow_agent::deliver(const flow_key &key, flow_state &state, const packet_head &head,
-                         core::time_point now)
+                         base::time_point now)
 {
     const bool waits = m_gate.holds(key);
     const bool begins = !waits && beginsRequest(state, head);
@@ -128,16 +128,16 @@
     m_output.sendToUpstream(m_scratch);
 }
 
-void flow_agent::releaseHeld(core::time_point now)
+void flow_agent::releaseHeld(base::time_point now)
 {
     m_gate.release(
             now, [this] { return m_load.running(); },
             [&](const flow_key &key, const request_gate::release_info &info,
-                std::span<const core::byte_vector> packets) {
+                std::span<const base::byte_vector> packets) {
                 const auto found = m_flows.find(key);
                 if (found != m_flows.end())
                     beginRequest(found->second, info.priority, info.held, now);
-                for (const core::byte_vector &packet : packets) {
+                for (const base::byte_vector &packet : packets) {
                     if (const auto head = m_codec.decode(packet); head && found != m_flows.end())
                         found->second.requestSequence = head->sequence + head->payloadSize;
                     m_output.sendToUpstream(packet);
@@ -145,7 +145,7 @@
             });
 }
 
-void flow_agent::receiveFromUpstream(core::byte_view packet, core::time_point now)
+void flow_agent::receiveFromUpstream(base::byte_view packet, base::time_point now)
 {
     ++m_counters.fromUpstream;
     m_unanswered = 0;
@@ -167,14 +167,14 @@
     if (!head->opens && !head->resets && !state.open)
         opened(key, state, now);
     if ((head->payloadSize > 0 || head->resets || head->finishes)
-        && state.requestAt != core::time_point {}) {
+        && state.requestAt != base::time_point {}) {
         m_load.end(now - state.requestAt, now);
         m_observer.answered({ state.priority, state.held, now - state.requestAt });
         state.requestAt = {};
     }
 }
 
-void flow_agent::opened(const flow_key &key, flow_state &state, core::time_point now)
+void flow_agent::opened(const flow_key &key, flow_state &state, base::time_point now)
 {
     state.open = true;
     ++m_openFlows;
@@ -187,15 +187,15 @@
     announce(flow_claim { { key } });
 }
 
-void flow_agent::receiveReturned(const packet_head &head, core::byte_view packet,
-                                 core::time_point now)
+void flow_agent::receiveReturned(const packet_head &head, base::byte_view packet,
+                                 base::time_point now)
 {
     const flow_key key = keyOfClientPacket(head);
     if (head.tag.value >= m_relays.size()) {
         ++m_counters.malformed;
         return;
     }
-    const core::endpoint entry = m_relays[head.tag.value];
+    const base::endpoint entry = m_relays[head.tag.value];
     const bool refused = head.isOpening();
     ++(refused ? m_counters.refused : m_counters.absent);
     m_observer.decided(
@@ -214,12 +214,12 @@
         giveBack(entry, instruction::absent, packet);
 }
 
-void flow_agent::forget(const flow_key &key, core::time_point now)
+void flow_agent::forget(const flow_key &key, base::time_point now)
 {
     const auto found = m_flows.find(key);
     if (found == m_flows.end())
         return;
-    if (found->second.requestAt != core::time_point {})
+    if (found->second.requestAt != base::time_point {})
         m_load.abandon(now);
     if (found->second.open)
         --m_openFlows;
@@ -251,7 +251,7 @@
 }
 
 void flow_agent::receiveMessage(std::uint32_t machine, const peer_message &message,
-                                core::time_point now)
+                                base::time_point now)
 {
     const auto *hello = std::get_if<entry_hello>(&message);
     if (hello == nullptr) {
@@ -273,7 +273,7 @@
     }
 }
 
-void flow_agent::giveBackUnanswered(core::time_point now)
+void flow_agent::giveBackUnanswered(base::time_point now)
 {
     while (!m_openings.empty() && m_openings.front().giveBackAt <= now) {
         const pending_opening opening = std::move(m_openings.front());
@@ -293,7 +293,7 @@
     }
 }
 
-void flow_agent::claimProbed(core::time_point now)
+void flow_agent::claimProbed(base::time_point now)
 {
     while (!m_probes.empty() && m_probes.front().deliveredAt + probeTime <= now) {
         const pending_probe probe = m_probes.front();
@@ -310,11 +310,11 @@
     }
 }
 
-void flow_agent::expire(core::time_point now)
+void flow_agent::expire(base::time_point now)
 {
     boost::unordered::erase_if(m_flows, [&](auto &item) {
         flow_state &state = item.second;
-        if (state.requestAt != core::time_point {} && now - state.requestAt > requestLifetime) {
+        if (state.requestAt != base::time_point {} && now - state.requestAt > requestLifetime) {
             m_load.abandon(now);
             state.requestAt = {};
         }
@@ -330,7 +330,7 @@
     m_nextExpiry = now + expiryInterval;
 }
 
-void flow_agent::reportLoad(core::time_point now)
+void flow_agent::reportLoad(base::time_point now)
 {
     const load_report report { m_bootId,
                                m_load.running() + static_cast<std::uint32_t>(m_gate.held()),
@@ -343,7 +343,7 @@
     m_nextReport = now + reportInterval;
 }
 
-core::duration flow_agent::tick(core::time_point now)
+base::duration flow_agent::tick(base::time_point now)
 {
     claimProbed(now);
     giveBackUnanswered(now);
@@ -352,13 +352,13 @@
         reportLoad(now);
     if (now >= m_nextExpiry)
         expire(now);
-    core::time_point next = std::min(m_nextReport, m_nextExpiry);
+    base::time_point next = std::min(m_nextReport, m_nextExpiry);
     if (!m_probes.empty())
         next = std::min(next, m_probes.front().deliveredAt + probeTime);
     next = std::min(next, m_gate.next());
     if (!m_openings.empty())
         next = std::min(next, m_openings.front().giveBackAt);
-    return std::max(next - now, core::duration::zero());
+    return std::max(next - now, base::duration::zero());
 }
 
 } // namespace oriolehold::flow
--- a/packages/flow/src/load_meter.cpp
+++ b/packages/flow/src/load_meter.cpp
@@ -12,7 +12,7 @@
 
 } // namespace
 
-double load_meter::meanAt(core::time_point now) const
+double load_meter::meanAt(base::time_point now) const
 {
     const double elapsed = std::chrono::duration<double>(now - m_meanAt)
             / std::chrono::duration<double>(averagingTime);
@@ -20,37 +20,37 @@
     return m_mean * kept + m_running * (1.0 - kept);
 }
 
-void load_meter::advance(core::time_point now)
+void load_meter::advance(base::time_point now)
 {
-    m_mean = m_meanAt == core::time_point {} ? 0.0 : meanAt(now);
+    m_mean = m_meanAt == base::time_point {} ? 0.0 : meanAt(now);
     m_meanAt = now;
 }
 
-void load_meter::begin(core::time_point now)
+void load_meter::begin(base::time_point now)
 {
     advance(now);
     ++m_running;
 }
 
-void load_meter::abandon(core::time_point now)
+void load_meter::abandon(base::time_point now)
 {
     advance(now);
     if (m_running > 0)
         --m_running;
 }
 
-void load_meter::end(core::duration elapsed, core::time_point now)
+void load_meter::end(base::duration elapsed, base::time_point now)
 {
     abandon(now);
-    if (m_meanServiceTime == core::duration::zero())
+    if (m_meanServiceTime == base::duration::zero())
         m_meanServiceTime = elapsed;
     else
         m_meanServiceTime += (elapsed - m_meanServiceTime) / durationShare;
 }
 
-std::uint32_t load_meter::meanRunning(core::time_point now) const
+std::uint32_t load_meter::meanRunning(base::time_point now) const
 {
-    return m_meanAt == core::time_point {}
+    return m_meanAt == base::time_point {}
             ? 0
             : static_cast<std::uint32_t>(std::lround(meanAt(now) * reportUnit));
 }
--- a/packages/flow/src/packet.cpp
+++ b/packages/flow/src/packet.cpp
@@ -1,6 +1,6 @@
 #include "oriolehold/flow/packet.h"
 
-#include "oriolehold/core/hash.h"
+#include "oriolehold/base/hash.h"
 
 namespace oriolehold::flow {
 
@@ -11,7 +11,7 @@
 constexpr std::uint32_t priorityMask = 0xf;
 constexpr std::uint32_t valueMask = (1U << priorityShift) - 1;
 
-std::uint64_t bitsOf(const core::endpoint &value)
+std::uint64_t bitsOf(const base::endpoint &value)
 {
     return std::uint64_t { value.address } << 16 | value.port;
 }
@@ -20,12 +20,12 @@
 
 std::size_t flow_key_hash::operator()(const flow_key &key) const noexcept
 {
-    return core::mixBits(core::mixBits(bitsOf(key.client)) + bitsOf(key.service));
+    return base::mixBits(base::mixBits(bitsOf(key.client)) + bitsOf(key.service));
 }
 
 std::string toString(const flow_key &key)
 {
-    return core::toString(key.client) + '>' + core::toString(key.service);
+    return base::toString(key.client) + '>' + base::toString(key.service);
 }
 
 std::uint32_t pack(const packet_tag &tag)
@@ -45,8 +45,8 @@
 
 std::uint32_t serviceDigest(std::string_view serviceName)
 {
-    const std::uint64_t hash = core::fnv1a(std::span<const char>(serviceName));
-    return static_cast<std::uint32_t>(core::mixBits(hash)) & valueMask;
+    const std::uint64_t hash = base::fnv1a(std::span<const char>(serviceName));
+    return static_cast<std::uint32_t>(base::mixBits(hash)) & valueMask;
 }
 
 } // namespace oriolehold::flow
--- a/packages/flow/src/placement_policy.cpp
+++ b/packages/flow/src/placement_policy.cpp
@@ -25,7 +25,7 @@
 // load.
 constexpr double avoidancePenalty = 100.0;
 
-double expectedLoad(const known_upstream &item, core::time_point now)
+double expectedLoad(const known_upstream &item, base::time_point now)
 {
     const double slots = std::max<double>(item.record.slots, 1.0);
     const double mean = item.report.meanRunning / reportUnit;
@@ -37,16 +37,16 @@
 }
 
 // Whether the agent or its upstream does not answer, or refused a flow shortly before.
-bool isAvoided(const known_upstream &item, core::time_point now)
+bool isAvoided(const known_upstream &item, base::time_point now)
 {
     return item.avoidUntil > now || !item.report.responsive
-            || item.reportedAt == core::time_point {} || now - item.reportedAt > silenceLimit;
+            || item.reportedAt == base::time_point {} || now - item.reportedAt > silenceLimit;
 }
 
 } // namespace
 
 known_upstream *least_load_policy::choose(std::span<known_upstream *const> candidates,
-                                          std::string_view zone, core::time_point now)
+                                          std::string_view zone, base::time_point now)
 {
     known_upstream *best = nullptr;
     double bestCost = std::numeric_limits<double>::infinity();
--- a/packages/flow/src/read_schedule.cpp
+++ b/packages/flow/src/read_schedule.cpp
@@ -8,14 +8,14 @@
     : m_offset(number % static_cast<std::uint64_t>(maxOffset.count()))
 { }
 
-core::time_point read_schedule::next(core::time_point readAt, bool complete) const
+base::time_point read_schedule::next(base::time_point readAt, bool complete) const
 {
     if (!complete)
         return m_begunAt + firstRetryInterval;
     return std::max(readAt + interval + m_offset, m_begunAt + retryInterval);
 }
 
-bool read_schedule::due(core::time_point now, core::time_point readAt, bool complete) const
+bool read_schedule::due(base::time_point now, base::time_point readAt, bool complete) const
 {
     return now >= next(readAt, complete);
 }
--- a/packages/flow/src/request_gate.cpp
+++ b/packages/flow/src/request_gate.cpp
@@ -6,7 +6,7 @@
 namespace oriolehold::flow {
 
 void request_gate::hold(const flow_key &key, std::uint8_t priority, std::uint32_t sequence,
-                        core::byte_view packet, core::time_point now)
+                        base::byte_view packet, base::time_point now)
 {
     const auto [item, added] = m_held.try_emplace(key);
     held_request &request = item->second;
@@ -21,7 +21,7 @@
     request.packets.emplace_back(packet.begin(), packet.end());
 }
 
-void request_gate::release(core::time_point now, const std::function<std::uint32_t()> &running,
+void request_gate::release(base::time_point now, const std::function<std::uint32_t()> &running,
                            const released &onRelease)
 {
     // Urgent first, then the newest.
@@ -43,10 +43,10 @@
     }
 }
 
-core::time_point request_gate::next() const
+base::time_point request_gate::next() const
 {
     if (m_held.empty())
-        return core::time_point::max();
+        return base::time_point::max();
     const auto oldest = std::ranges::min_element(
             m_held, {}, [](const auto &item) { return item.second.since; });
     return oldest->second.since + maxHold;
--- a/packages/flow/src/upstream_directory.cpp
+++ b/packages/flow/src/upstream_directory.cpp
@@ -14,13 +14,13 @@
 
 } // namespace
 
-bool upstream_directory::update(const upstream_list &list, core::time_point readAt,
-                                core::time_point now,
+bool upstream_directory::update(const upstream_list &list, base::time_point readAt,
+                                base::time_point now,
                                 const std::function<void(const directory_change &)> &onChange)
 {
     if (list.revision < m_revision || readAt < m_readAt)
         return false;
-    if (m_readAt != core::time_point {} && readAt - m_readAt > outageGap)
+    if (m_readAt != base::time_point {} && readAt - m_readAt > outageGap)
         m_outageEndedAt = now;
     m_revision = list.revision;
     m_readAt = readAt;
@@ -49,7 +49,7 @@
         if (!known.listed || known.seenInList == readAt)
             continue;
         const bool mayHaveLapsed =
-                m_outageEndedAt != core::time_point {} && now - m_outageEndedAt < lapseTolerance;
+                m_outageEndedAt != base::time_point {} && now - m_outageEndedAt < lapseTolerance;
         if (mayHaveLapsed)
             continue;
         known.listed = false;
@@ -62,7 +62,7 @@
 }
 
 void upstream_directory::report(std::uint32_t machine, const load_report &report,
-                                core::time_point now)
+                                base::time_point now)
 {
     known_upstream *known = find(machine);
     if (known == nullptr)
@@ -112,7 +112,7 @@
     return result;
 }
 
-bool upstream_directory::isGone(std::uint32_t machine, core::time_point now) const
+bool upstream_directory::isGone(std::uint32_t machine, base::time_point now) const
 {
     const known_upstream *known = find(machine);
     if (known == nullptr)
--- a/packages/flow/src/view_exchange.cpp
+++ b/packages/flow/src/view_exchange.cpp
@@ -1,6 +1,6 @@
 #include "oriolehold/flow/view_exchange.h"
 
-#include "oriolehold/core/hash.h"
+#include "oriolehold/base/hash.h"
 
 #include <algorithm>
 
@@ -24,8 +24,8 @@
     content.revision = 0;
     for (upstream_record &record : content.upstreams)
         record.warmUpLeft = {}; // it counts down in every read; the first one is kept
-    const core::byte_vector bytes = m_codec.encode(content);
-    const std::uint64_t hash = core::fnv1a(core::byte_view(bytes));
+    const base::byte_vector bytes = m_codec.encode(content);
+    const std::uint64_t hash = base::fnv1a(base::byte_view(bytes));
     return std::max<std::uint64_t>(hash, 1);
 }
 
@@ -37,14 +37,14 @@
     m_listener.routesChanged(m_configuration);
 }
 
-void view_exchange::readUpstreams(const upstream_list &list, core::time_point readAt,
-                                  core::time_point now)
+void view_exchange::readUpstreams(const upstream_list &list, base::time_point readAt,
+                                  base::time_point now)
 {
     setUpstreams(list, digestOf(list), readAt, now);
 }
 
 bool view_exchange::setUpstreams(const upstream_list &list, std::uint64_t digest,
-                                 core::time_point readAt, core::time_point now)
+                                 base::time_point readAt, base::time_point now)
 {
     if (list.revision < m_upstreams.revision || readAt <= m_readAt)
         return false;
@@ -55,13 +55,13 @@
     return true;
 }
 
-view_news view_exchange::news(core::time_point now) const
+view_news view_exchange::news(base::time_point now) const
 {
     return { m_configuration.version, m_upstreams.revision, m_digest, now - m_readAt };
 }
 
 bool view_exchange::receive(std::uint32_t machine, const peer_message &message,
-                            core::time_point now)
+                            base::time_point now)
 {
     if (const auto *heard = std::get_if<view_news>(&message))
         return receiveNews(machine, *heard, now);
@@ -78,7 +78,7 @@
     return false;
 }
 
-bool view_exchange::receiveNews(std::uint32_t machine, const view_news &news, core::time_point now)
+bool view_exchange::receiveNews(std::uint32_t machine, const view_news &news, base::time_point now)
 {
     const bool newerList = news.upstreamRevision >= m_upstreams.revision && news.upstreamDigest != 0
             && now - news.age - transferTime > m_readAt;
@@ -95,7 +95,7 @@
     return true;
 }
 
-bool view_exchange::receivePage(const view_page &page, core::time_point now)
+bool view_exchange::receivePage(const view_page &page, base::time_point now)
 {
     if (page.count == 0 || page.count > maxPages || page.index >= page.count)
         return false;
@@ -114,38 +114,38 @@
     return list && setUpstreams(*list, page.id, now - page.age - transferTime, now);
 }
 
-std::optional<core::byte_vector> view_exchange::assemble(assembly &state, const view_page &page)
+std::optional<base::byte_vector> view_exchange::assemble(assembly &state, const view_page &page)
 {
     if (state.id != page.id || state.pages.size() != page.count) {
         state.id = page.id;
         state.pages.assign(page.count, {});
         state.missing = page.count;
     }
-    core::byte_vector &slot = state.pages[page.index];
+    base::byte_vector &slot = state.pages[page.index];
     if (slot.empty() && !page.bytes.empty()) {
         slot = page.bytes;
         --state.missing;
     }
     if (state.missing > 0)
         return std::nullopt;
-    core::byte_vector bytes;
-    for (const core::byte_vector &part : state.pages)
+    base::byte_vector bytes;
+    for (const base::byte_vector &part : state.pages)
         bytes.insert(bytes.end(), part.begin(), part.end());
     state = {};
     return bytes;
 }
 
 void view_exchange::sendDocument(std::uint32_t machine, document_kind kind, std::uint64_t id,
-                                 core::byte_view bytes, core::time_point now)
+                                 base::byte_view bytes, base::time_point now)
 {
     const std::size_t count = (bytes.size() + pageSize - 1) / pageSize;
     for (std::size_t i = 0; i < count; ++i) {
-        const core::byte_view part =
+        const base::byte_view part =
                 bytes.subspan(i * pageSize, std::min(pageSize, bytes.size() - i * pageSize));
         m_output.sendMessage(machine,
                              view_page { kind, id, now - m_readAt, static_cast<std::uint16_t>(i),
                                          static_cast<std::uint16_t>(count),
-                                         core::byte_vector(part.begin(), part.end()) });
+                                         base::byte_vector(part.begin(), part.end()) });
     }
 }
 
--- a/packages/flow/tests/entry_balancer_test.cpp
+++ b/packages/flow/tests/entry_balancer_test.cpp
@@ -10,9 +10,9 @@
 
 namespace {
 
-constexpr core::endpoint client { 0x64400007, 40001 };
-constexpr core::endpoint ordersAddress { 0xc6120001, 443 };
-constexpr core::endpoint unknownAddress { 0xc6120009, 443 };
+constexpr base::endpoint client { 0x64400007, 40001 };
+constexpr base::endpoint ordersAddress { 0xc6120001, 443 };
+constexpr base::endpoint unknownAddress { 0xc6120009, 443 };
 
 upstream_record record(std::uint32_t machine, std::string service = "orders")
 {
@@ -32,7 +32,7 @@
 {
     fake_codec codec;
     fake_document_codec documents;
-    core::seeded_random random { 1 };
+    base::seeded_random random { 1 };
     least_load_policy policy { random };
     recording_entry_output output;
     recording_observer observer;
@@ -54,7 +54,7 @@
         balancer.finishRead(routes, upstreams, atMilliseconds(at), atMilliseconds(at));
     }
 
-    packet_head packet(const core::endpoint &service = ordersAddress) const
+    packet_head packet(const base::endpoint &service = ordersAddress) const
     {
         packet_head head;
         head.source = client;
@@ -63,7 +63,7 @@
         head.acknowledgement = 1234;
         return head;
     }
-    packet_head opening(std::uint32_t copy = 0, const core::endpoint &service = ordersAddress) const
+    packet_head opening(std::uint32_t copy = 0, const base::endpoint &service = ordersAddress) const
     {
         packet_head head = packet(service);
         head.opens = true;
@@ -473,7 +473,7 @@
 
 TEST(entry_balancer, MalformedPacketIsCounted)
 {
-    const core::byte_vector bytes { 1, 2, 3 };
+    const base::byte_vector bytes { 1, 2, 3 };
     balancer.receivePacket(bytes, atMilliseconds(0));
 
     CHECK_EQUAL(1, balancer.counters().malformed);
--- a/packages/flow/tests/flow_agent_test.cpp
+++ b/packages/flow/tests/flow_agent_test.cpp
@@ -10,10 +10,10 @@
 
 namespace {
 
-constexpr core::endpoint client { 0x64400007, 40001 };
-constexpr core::endpoint service { 0xc6120001, 443 };
-constexpr core::endpoint entry { 50, 7000 };
-constexpr core::endpoint otherEntry { 51, 7000 };
+constexpr base::endpoint client { 0x64400007, 40001 };
+constexpr base::endpoint service { 0xc6120001, 443 };
+constexpr base::endpoint entry { 50, 7000 };
+constexpr base::endpoint otherEntry { 51, 7000 };
 
 } // namespace
 
@@ -53,7 +53,7 @@
         head.payloadSize = size;
         return head;
     }
-    void receive(const packet_head &head, std::int64_t at, const core::endpoint &from = entry)
+    void receive(const packet_head &head, std::int64_t at, const base::endpoint &from = entry)
     {
         agent.receiveFromEntry(from, fake_codec::encode(head), atMilliseconds(at));
     }
--- a/packages/flow/tests/flow_fakes.h
+++ b/packages/flow/tests/flow_fakes.h
@@ -14,9 +14,9 @@
 class fake_codec final : public packet_codec
 {
 public:
-    static core::byte_vector encode(const packet_head &head)
+    static base::byte_vector encode(const packet_head &head)
     {
-        core::byte_vector bytes(sizeof(fields) + head.payloadSize, 0x5a);
+        base::byte_vector bytes(sizeof(fields) + head.payloadSize, 0x5a);
         const fields value { head.source,          head.destination, head.opens,
                              head.acknowledges,    head.finishes,    head.resets,
                              head.returned,        pack(head.tag),   head.sequence,
@@ -25,7 +25,7 @@
         return bytes;
     }
 
-    std::optional<packet_head> decode(core::byte_view packet) const override
+    std::optional<packet_head> decode(base::byte_view packet) const override
     {
         fields value {};
         if (packet.size() < sizeof(value))
@@ -38,8 +38,8 @@
         };
     }
 
-    void copyTagged(core::byte_view packet, const packet_tag &tag,
-                    core::byte_vector &copy) const override
+    void copyTagged(base::byte_view packet, const packet_tag &tag,
+                    base::byte_vector &copy) const override
     {
         packet_head head = *decode(packet);
         head.tag = tag;
@@ -47,7 +47,7 @@
         copy = encode(head);
     }
 
-    void writeReset(const packet_head &clientPacket, core::byte_vector &reset) const override
+    void writeReset(const packet_head &clientPacket, base::byte_vector &reset) const override
     {
         packet_head head;
         head.source = clientPacket.destination;
@@ -60,8 +60,8 @@
 private:
     struct fields
     {
-        core::endpoint source;
-        core::endpoint destination;
+        base::endpoint source;
+        base::endpoint destination;
         bool opens, acks, finishes, resets, returned;
         std::uint32_t tag, sequence, ack;
         std::uint16_t size;
@@ -72,37 +72,37 @@
 class fake_document_codec final : public document_codec
 {
 public:
-    core::byte_vector encode(const flow_configuration &configuration) const override
+    base::byte_vector encode(const flow_configuration &configuration) const override
     {
         return remember(m_configurations, configuration);
     }
-    core::byte_vector encode(const upstream_list &list) const override
+    base::byte_vector encode(const upstream_list &list) const override
     {
         return remember(m_lists, list);
     }
-    std::optional<flow_configuration> decodeConfiguration(core::byte_view bytes) const override
+    std::optional<flow_configuration> decodeConfiguration(base::byte_view bytes) const override
     {
         return recall(m_configurations, bytes);
     }
-    std::optional<upstream_list> decodeUpstreams(core::byte_view bytes) const override
+    std::optional<upstream_list> decodeUpstreams(base::byte_view bytes) const override
     {
         return recall(m_lists, bytes);
     }
 
 private:
     template<typename Document>
-    static core::byte_vector remember(std::vector<Document> &known, const Document &document)
+    static base::byte_vector remember(std::vector<Document> &known, const Document &document)
     {
         auto found = std::ranges::find(known, document);
         if (found == known.end())
             found = known.insert(known.end(), document);
         const auto index = static_cast<std::uint32_t>(found - known.begin()) + 1;
-        core::byte_vector bytes(sizeof(index));
+        base::byte_vector bytes(sizeof(index));
         std::memcpy(bytes.data(), &index, sizeof(index));
         return bytes;
     }
     template<typename Document>
-    static std::optional<Document> recall(const std::vector<Document> &known, core::byte_view bytes)
+    static std::optional<Document> recall(const std::vector<Document> &known, base::byte_view bytes)
     {
         std::uint32_t index = 0;
         if (bytes.size() != sizeof(index))
@@ -142,11 +142,11 @@
 class recording_entry_output final : public entry_output
 {
 public:
-    void sendToAgent(std::uint32_t machine, core::byte_view packet) override
+    void sendToAgent(std::uint32_t machine, base::byte_view packet) override
     {
         toAgents.push_back({ machine, *codec.decode(packet) });
     }
-    void sendToClient(std::uint32_t client, core::byte_view packet) override
+    void sendToClient(std::uint32_t client, base::byte_view packet) override
     {
         toClients.push_back({ client, *codec.decode(packet) });
     }
@@ -164,15 +164,15 @@
 class recording_agent_output final : public agent_output
 {
 public:
-    void sendToUpstream(core::byte_view packet) override
+    void sendToUpstream(base::byte_view packet) override
     {
         toUpstream.push_back(*codec.decode(packet));
     }
-    void sendToClient(std::uint32_t client, core::byte_view packet) override
+    void sendToClient(std::uint32_t client, base::byte_view packet) override
     {
         toClients.push_back({ client, *codec.decode(packet) });
     }
-    void sendToEntry(const core::endpoint &entry, core::byte_view packet) override
+    void sendToEntry(const base::endpoint &entry, base::byte_view packet) override
     {
         toEntries.push_back({ entry.address, *codec.decode(packet) });
     }
@@ -200,9 +200,9 @@
     std::vector<std::pair<std::uint32_t, peer_message>> messages;
 };
 
-inline core::time_point atMilliseconds(std::int64_t value)
+inline base::time_point atMilliseconds(std::int64_t value)
 {
-    return core::time_point { std::chrono::seconds { 1000 } + std::chrono::milliseconds { value } };
+    return base::time_point { std::chrono::seconds { 1000 } + std::chrono::milliseconds { value } };
 }
 
 } // namespace oriolehold::flow
--- a/packages/flow/tests/flow_world.cpp
+++ b/packages/flow/tests/flow_world.cpp
@@ -15,15 +15,15 @@
 constexpr std::uint32_t firstEntry = 200; // machine addresses
 constexpr std::uint32_t clientAddress = 0x64400001;
 constexpr std::uint16_t packetPort = 7000;
-constexpr core::endpoint ordersAddress { 0xc6120001, 443 };
-constexpr core::endpoint catalogAddress { 0xc6120002, 443 };
+constexpr base::endpoint ordersAddress { 0xc6120001, 443 };
+constexpr base::endpoint catalogAddress { 0xc6120002, 443 };
 // After the last disturbance the packets of an open flow reach its upstream within this time.
-constexpr core::duration driftLimit = 2s;
+constexpr base::duration driftLimit = 2s;
 // A draining upstream gets no new flow after this time.
-constexpr core::duration drainLimit = 3s;
+constexpr base::duration drainLimit = 3s;
 constexpr unsigned lossPercent = 1;
 // Longest time until a process does what is due.
-constexpr core::duration tickInterval = 5ms;
+constexpr base::duration tickInterval = 5ms;
 
 } // namespace
 
@@ -36,7 +36,7 @@
     std::string id;
     bool alive = true;
     bool draining = false;
-    core::time_point drainSince {};
+    base::time_point drainSince {};
     // Open flows, and those that were offered, by the sequence number of the offer.
     std::map<std::uint16_t, std::uint32_t> offered;
     std::set<std::uint16_t> open;
@@ -50,7 +50,7 @@
     std::uint32_t machine = 0;
     bool inRotation = true;
     std::uint64_t life = 0;
-    std::unique_ptr<core::seeded_random> random;
+    std::unique_ptr<base::seeded_random> random;
     std::unique_ptr<least_load_policy> policy;
     std::unique_ptr<entry_port> port;
     std::unique_ptr<recording_observer> observer;
@@ -59,7 +59,7 @@
 
 struct flow_world::client_flow
 {
-    core::endpoint service;
+    base::endpoint service;
     std::uint32_t offer = 0; // sequence number of the accepted offer
     bool established = false;
     bool ended = false;
@@ -67,22 +67,22 @@
     // The upstream that holds the flow, once the end of the handshake reached it.
     std::uint32_t owner = 0;
     std::uint64_t ownerIncarnation = 0;
-    core::time_point ownerHeardAt {};
-    core::time_point openedAt {};
+    base::time_point ownerHeardAt {};
+    base::time_point openedAt {};
 };
 
 class flow_world::entry_port final : public entry_output
 {
 public:
     entry_port(flow_world &world, std::uint32_t machine) : m_world(world), m_machine(machine) { }
-    void sendToAgent(std::uint32_t machine, core::byte_view packet) override
+    void sendToAgent(std::uint32_t machine, base::byte_view packet) override
     {
-        const core::byte_vector bytes(packet.begin(), packet.end());
+        const base::byte_vector bytes(packet.begin(), packet.end());
         deliver(machine, [this, bytes](upstream &item) {
             item.agent->receiveFromEntry({ m_machine, packetPort }, bytes, m_world.m_now);
         });
     }
-    void sendToClient(std::uint32_t, core::byte_view packet) override
+    void sendToClient(std::uint32_t, base::byte_view packet) override
     {
         const packet_head head = *m_world.m_codec.decode(packet);
         m_world.at(m_world.networkDelay(),
@@ -115,7 +115,7 @@
 {
 public:
     agent_port(flow_world &world, upstream &item) : m_world(world), m_upstream(item) { }
-    void sendToUpstream(core::byte_view packet) override
+    void sendToUpstream(base::byte_view packet) override
     {
         const packet_head head = *m_world.m_codec.decode(packet);
         // A packet of an agent that has ended in the meantime is lost.
@@ -124,15 +124,15 @@
                 m_world.toUpstream(m_upstream, head);
         });
     }
-    void sendToClient(std::uint32_t, core::byte_view packet) override
+    void sendToClient(std::uint32_t, base::byte_view packet) override
     {
         const packet_head head = *m_world.m_codec.decode(packet);
         m_world.at(m_world.networkDelay(),
                    [this, head] { m_world.toClient(head, true, m_upstream.machine); });
     }
-    void sendToEntry(const core::endpoint &target, core::byte_view packet) override
+    void sendToEntry(const base::endpoint &target, base::byte_view packet) override
     {
-        const core::byte_vector bytes(packet.begin(), packet.end());
+        const base::byte_vector bytes(packet.begin(), packet.end());
         deliver(target.address,
                 [this, bytes](entry &item) { item.balancer->receivePacket(bytes, m_world.m_now); });
     }
@@ -184,19 +184,19 @@
 
 flow_world::~flow_world() = default;
 
-void flow_world::at(core::duration delay, std::function<void()> action)
+void flow_world::at(base::duration delay, std::function<void()> action)
 {
     m_events.push({ m_now + delay, m_order++, std::move(action) });
 }
 
-core::duration flow_world::within(std::int64_t minimum, std::int64_t maximum)
+base::duration flow_world::within(std::int64_t minimum, std::int64_t maximum)
 {
-    return core::duration { minimum
+    return base::duration { minimum
                             + static_cast<std::int64_t>(m_random.below(
                                     static_cast<std::uint64_t>(maximum - minimum + 1))) };
 }
 
-core::duration flow_world::networkDelay()
+base::duration flow_world::networkDelay()
 {
     return within(200, 1200);
 }
@@ -235,7 +235,7 @@
     ++item.life;
     if (!item.port)
         item.port = std::make_unique<entry_port>(*this, item.machine);
-    item.random = std::make_unique<core::seeded_random>(m_random.next());
+    item.random = std::make_unique<base::seeded_random>(m_random.next());
     item.policy = std::make_unique<least_load_policy>(*item.random);
     item.observer = std::make_unique<recording_observer>();
     item.balancer = std::make_unique<entry_balancer>(entry_identity { m_random.next(), "zone", {} },
@@ -251,7 +251,7 @@
     if (item.balancer->readDue(m_now)) {
         item.balancer->beginRead(m_now);
         if (m_storeUp) {
-            const core::time_point readAt = m_now;
+            const base::time_point readAt = m_now;
             at(4ms,
                [this, index, readAt, life = item.life, list = present(),
                 configuration = m_configuration] {
@@ -294,7 +294,7 @@
     if (!item.alive)
         return;
     const std::uint16_t port = head.source.port;
-    const core::endpoint expected = item.service == "orders" ? ordersAddress : catalogAddress;
+    const base::endpoint expected = item.service == "orders" ? ordersAddress : catalogAddress;
     const auto answer = [this, &item, head](packet_head reply) {
         reply.source = head.destination;
         reply.destination = head.source;
@@ -545,7 +545,7 @@
 
 std::string flow_world::run(std::chrono::seconds length)
 {
-    const core::time_point end = m_now + length;
+    const base::time_point end = m_now + length;
     const std::function<void()> traffic = [&] {
         openFlow();
         at(within(20'000, 100'000), traffic);
--- a/packages/flow/tests/flow_world.h
+++ b/packages/flow/tests/flow_world.h
@@ -43,10 +43,10 @@
     class entry_port;
     class agent_port;
 
-    void at(core::duration delay, std::function<void()> action);
-    core::duration networkDelay();
+    void at(base::duration delay, std::function<void()> action);
+    base::duration networkDelay();
     // A random moment within the range.
-    core::duration within(std::int64_t minimum, std::int64_t maximum);
+    base::duration within(std::int64_t minimum, std::int64_t maximum);
     bool chance(unsigned percent) { return m_random.below(100) < percent; }
     void violated(std::string text);
 
@@ -68,12 +68,12 @@
     void disturb();
     void check();
 
-    core::seeded_random m_random;
-    core::time_point m_now = atMilliseconds(0);
+    base::seeded_random m_random;
+    base::time_point m_now = atMilliseconds(0);
     std::uint64_t m_order = 0;
     struct event
     {
-        core::time_point time;
+        base::time_point time;
         std::uint64_t order;
         std::function<void()> action;
         bool operator>(const event &other) const
@@ -93,8 +93,8 @@
     flow_configuration m_configuration;
     std::uint64_t m_revision = 1;
     bool m_storeUp = true;
-    core::time_point m_storeChangedAt = m_now;
-    core::time_point m_lastDisturbance = m_now;
+    base::time_point m_storeChangedAt = m_now;
+    base::time_point m_lastDisturbance = m_now;
     std::string m_violation;
     statistics m_seen;
 };
--- a/packages/flow/tests/view_exchange_test.cpp
+++ b/packages/flow/tests/view_exchange_test.cpp
@@ -16,7 +16,7 @@
     {
         versions.push_back(configuration.version);
     }
-    void upstreamsRead(const upstream_list &list, core::time_point, core::time_point) override
+    void upstreamsRead(const upstream_list &list, base::time_point, base::time_point) override
     {
         revisions.push_back(list.revision);
     }
@@ -122,9 +122,9 @@
 
 TEST(view_exchange, PagesOfTwoDocumentsAreNotMixed)
 {
-    core::byte_vector bytes = codec.encode(configurationOf(9));
-    const core::byte_vector first(bytes.begin(), bytes.begin() + 2);
-    const core::byte_vector second(bytes.begin() + 2, bytes.end());
+    base::byte_vector bytes = codec.encode(configurationOf(9));
+    const base::byte_vector first(bytes.begin(), bytes.begin() + 2);
+    const base::byte_vector second(bytes.begin() + 2, bytes.end());
 
     CHECK_FALSE(hearer.receive(1, view_page { document_kind::configuration, 9, {}, 0, 2, first },
                                atMilliseconds(0)));
--- a/packages/net/include/oriolehold/net/event_loop.h
+++ b/packages/net/include/oriolehold/net/event_loop.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "oriolehold/core/types.h"
+#include "oriolehold/base/types.h"
 
 #include <functional>
 #include <mutex>
@@ -16,10 +16,10 @@
 {
 public:
     daemon_clock();
-    core::time_point now() const;
+    base::time_point now() const;
 
 private:
-    core::time_point m_start;
+    base::time_point m_start;
     std::chrono::steady_clock::time_point m_steadyStart;
 };
 
@@ -41,7 +41,7 @@
 
     // Runs until stop(). onIdle is called before each wait, runs due timers and returns the longest
     // time to wait.
-    void run(const std::function<core::duration()> &onIdle);
+    void run(const std::function<base::duration()> &onIdle);
 
     // Ends run(). Can be called by any thread.
     void stop();
--- a/packages/net/include/oriolehold/net/udp_socket.h
+++ b/packages/net/include/oriolehold/net/udp_socket.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "oriolehold/core/types.h"
+#include "oriolehold/base/types.h"
 
 #include <memory>
 #include <system_error>
@@ -12,10 +12,10 @@
 
 struct datagram
 {
-    core::endpoint peer;
-    core::byte_view bytes;
+    base::endpoint peer;
+    base::byte_view bytes;
     // Time that the datagram waited in the socket's buffer; long after the process was paused.
-    core::duration age {};
+    base::duration age {};
 };
 
 // A bound, non-blocking IPv4 socket.
@@ -30,24 +30,24 @@
 
     // Binds to the address; port 0 picks a free port. Throws std::system_error on failure.
     // With shared set, several sockets may have the same address and the kernel spreads the flows.
-    explicit udp_socket(const core::endpoint &local, bool shared = false);
+    explicit udp_socket(const base::endpoint &local, bool shared = false);
     ~udp_socket();
     udp_socket(udp_socket &&other) noexcept;
     udp_socket &operator=(udp_socket &&) = delete;
 
     int descriptor() const { return m_descriptor; }
-    core::endpoint local() const;
+    base::endpoint local() const;
 
     // Reads at most batchSize datagrams without waiting. The views are valid until the next call.
     std::span<const datagram> receive();
     // Queues a datagram; a full queue is flushed at once.
-    void send(const core::endpoint &peer, core::byte_view bytes);
+    void send(const base::endpoint &peer, base::byte_view bytes);
     // Sends everything that is queued. Datagrams that the kernel refuses are dropped and counted.
     void flush();
     std::uint64_t sendFailures() const { return m_sendFailures; }
 
     // Peers that were reported as unreachable (ICMP port unreachable) since the last call.
-    std::vector<core::endpoint> takeUnreachable();
+    std::vector<base::endpoint> takeUnreachable();
 
 private:
     struct buffers;
--- a/packages/net/src/event_loop.cpp
+++ b/packages/net/src/event_loop.cpp
@@ -15,26 +15,26 @@
 namespace {
 
 constexpr int maxEvents = 64;
-constexpr core::duration longestWait = std::chrono::seconds { 1 };
+constexpr base::duration longestWait = std::chrono::seconds { 1 };
 
-std::chrono::milliseconds roundUp(core::duration value)
+std::chrono::milliseconds roundUp(base::duration value)
 {
     return std::chrono::ceil<std::chrono::milliseconds>(
-            std::clamp(value, core::duration::zero(), longestWait));
+            std::clamp(value, base::duration::zero(), longestWait));
 }
 
 } // namespace
 
 daemon_clock::daemon_clock()
-    : m_start(std::chrono::duration_cast<core::duration>(
+    : m_start(std::chrono::duration_cast<base::duration>(
             std::chrono::system_clock::now().time_since_epoch())),
       m_steadyStart(std::chrono::steady_clock::now())
 { }
 
-core::time_point daemon_clock::now() const
+base::time_point daemon_clock::now() const
 {
     return m_start
-            + std::chrono::duration_cast<core::duration>(std::chrono::steady_clock::now()
+            + std::chrono::duration_cast<base::duration>(std::chrono::steady_clock::now()
                                                          - m_steadyStart);
 }
 
@@ -83,7 +83,7 @@
     wake();
 }
 
-void event_loop::run(const std::function<core::duration()> &onIdle)
+void event_loop::run(const std::function<base::duration()> &onIdle)
 {
     std::array<epoll_event, maxEvents> events;
     while (true) {
--- a/packages/net/src/udp_socket.cpp
+++ b/packages/net/src/udp_socket.cpp
@@ -19,7 +19,7 @@
 
 constexpr int socketBufferSize = 4 * 1024 * 1024; // bytes; the kernel may grant less
 
-sockaddr_in toSocketAddress(const core::endpoint &value)
+sockaddr_in toSocketAddress(const base::endpoint &value)
 {
     sockaddr_in address {};
     address.sin_family = AF_INET;
@@ -28,7 +28,7 @@
     return address;
 }
 
-core::endpoint toEndpoint(const sockaddr_in &address)
+base::endpoint toEndpoint(const sockaddr_in &address)
 {
     return { ntohl(address.sin_addr.s_addr), ntohs(address.sin_port) };
 }
@@ -41,13 +41,13 @@
 // Microseconds since the Unix epoch on the system clock.
 std::int64_t systemMicroseconds()
 {
-    return std::chrono::duration_cast<core::duration>(
+    return std::chrono::duration_cast<base::duration>(
                    std::chrono::system_clock::now().time_since_epoch())
             .count();
 }
 
 // Age of a datagram by the kernel's receive time, 0 when it is not known.
-core::duration ageOf(msghdr &header, std::int64_t now)
+base::duration ageOf(msghdr &header, std::int64_t now)
 {
     const cmsghdr *part = CMSG_FIRSTHDR(&header);
     if (part == nullptr || part->cmsg_level != SOL_SOCKET || part->cmsg_type != SCM_TIMESTAMPNS)
@@ -55,7 +55,7 @@
     timespec received {};
     std::memcpy(&received, CMSG_DATA(part), sizeof(received));
     const std::int64_t microseconds = received.tv_sec * 1'000'000 + received.tv_nsec / 1'000;
-    return core::duration { std::max<std::int64_t>(now - microseconds, 0) };
+    return base::duration { std::max<std::int64_t>(now - microseconds, 0) };
 }
 
 } // namespace
@@ -76,7 +76,7 @@
     std::size_t queued = 0;
 };
 
-udp_socket::udp_socket(const core::endpoint &local, bool shared)
+udp_socket::udp_socket(const base::endpoint &local, bool shared)
     // Without zeroing, an idle socket does not occupy its buffers' 139 KB: an entry with 540
     // listeners had 101 MB resident.
     : m_buffers(std::make_unique_for_overwrite<buffers>())
@@ -95,7 +95,7 @@
     if (bind(m_descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0) {
         const int error = errno;
         close(m_descriptor);
-        throw std::system_error(error, std::generic_category(), "bind to " + core::toString(local));
+        throw std::system_error(error, std::generic_category(), "bind to " + base::toString(local));
     }
 }
 
@@ -110,7 +110,7 @@
       m_sendFailures(other.m_sendFailures)
 { }
 
-core::endpoint udp_socket::local() const
+base::endpoint udp_socket::local() const
 {
     sockaddr_in address {};
     socklen_t size = sizeof(address);
@@ -137,13 +137,13 @@
     const std::int64_t now = systemMicroseconds();
     for (std::size_t i = 0; i < static_cast<std::size_t>(count); ++i) {
         state.received[i] = { toEndpoint(state.inputPeers[i]),
-                              core::byte_view(state.input[i]).first(state.inputHeaders[i].msg_len),
+                              base::byte_view(state.input[i]).first(state.inputHeaders[i].msg_len),
                               ageOf(state.inputHeaders[i].msg_hdr, now) };
     }
     return std::span<const datagram>(state.received).first(static_cast<std::size_t>(count));
 }
 
-void udp_socket::send(const core::endpoint &peer, core::byte_view bytes)
+void udp_socket::send(const base::endpoint &peer, base::byte_view bytes)
 {
     buffers &state = *m_buffers;
     if (bytes.empty() || bytes.size() > maxReceiveSize) {
@@ -189,9 +189,9 @@
     state.queued = 0;
 }
 
-std::vector<core::endpoint> udp_socket::takeUnreachable()
+std::vector<base::endpoint> udp_socket::takeUnreachable()
 {
-    std::vector<core::endpoint> peers;
+    std::vector<base::endpoint> peers;
     while (true) {
         sockaddr_in peer {};
         std::array<char, 256> control;
--- a/packages/net/tests/event_loop_test.cpp
+++ b/packages/net/tests/event_loop_test.cpp
@@ -23,7 +23,7 @@
         });
     });
 
-    loop.run([] { return core::duration { 1s }; });
+    loop.run([] { return base::duration { 1s }; });
     poster.join();
 
     CHECK_TRUE(taskThread == std::this_thread::get_id());
@@ -38,10 +38,10 @@
         received += receiver.receive().size();
         loop.stop();
     });
-    sender.send(receiver.local(), core::byte_vector { 1 });
+    sender.send(receiver.local(), base::byte_vector { 1 });
     sender.flush();
 
-    loop.run([] { return core::duration { 1s }; });
+    loop.run([] { return base::duration { 1s }; });
 
     CHECK_EQUAL(1u, received);
 }
--- a/packages/net/tests/udp_socket_test.cpp
+++ b/packages/net/tests/udp_socket_test.cpp
@@ -29,7 +29,7 @@
 
 TEST(udp_socket, DatagramsArriveWithTheirSender)
 {
-    const core::byte_vector bytes { 1, 2, 3 };
+    const base::byte_vector bytes { 1, 2, 3 };
     first.send(second.local(), bytes);
     first.flush();
     waitForInput(second);
@@ -43,12 +43,12 @@
 
 TEST(udp_socket, ClosedPeerIsReportedAsUnreachable)
 {
-    core::endpoint closed;
+    base::endpoint closed;
     {
         const net::udp_socket temporary { { loopback, 0 } };
         closed = temporary.local();
     }
-    first.send(closed, core::byte_vector { 1 });
+    first.send(closed, base::byte_vector { 1 });
     first.flush();
     waitForInput(first);
 
--- a/packages/wire/include/oriolehold/wire/flow_datagram.h
+++ b/packages/wire/include/oriolehold/wire/flow_datagram.h
@@ -13,19 +13,19 @@
 inline constexpr std::size_t maxFlowDatagram = 2048;
 
 // Replaces the content of the vector. Reusing the vector avoids an allocation per message.
-void encodeFlowMessage(const flow::peer_message &message, core::byte_vector &datagram);
+void encodeFlowMessage(const flow::peer_message &message, base::byte_vector &datagram);
 // An empty optional when the bytes are malformed or oversized. Throws nothing.
-std::optional<flow::peer_message> decodeFlowMessage(core::byte_view datagram);
+std::optional<flow::peer_message> decodeFlowMessage(base::byte_view datagram);
 
 // Documents in the same encoding.
 class flow_document_codec final : public flow::document_codec
 {
 public:
-    core::byte_vector encode(const flow::flow_configuration &configuration) const override;
-    core::byte_vector encode(const flow::upstream_list &list) const override;
+    base::byte_vector encode(const flow::flow_configuration &configuration) const override;
+    base::byte_vector encode(const flow::upstream_list &list) const override;
     std::optional<flow::flow_configuration>
-    decodeConfiguration(core::byte_view bytes) const override;
-    std::optional<flow::upstream_list> decodeUpstreams(core::byte_view bytes) const override;
+    decodeConfiguration(base::byte_view bytes) const override;
+    std::optional<flow::upstream_list> decodeUpstreams(base::byte_view bytes) const override;
 };
 
 } // namespace oriolehold::wire
--- a/packages/wire/src/flow_datagram.cpp
+++ b/packages/wire/src/flow_datagram.cpp
@@ -110,7 +110,7 @@
 thread_local internal::buffered_stream<std::istream, internal::view_buffer> input;
 
 template<typename Value>
-void append(const Value &value, core::byte_vector &bytes)
+void append(const Value &value, base::byte_vector &bytes)
 {
     output.buffer.setTarget(bytes);
     cereal::PortableBinaryOutputArchive archive(output.stream);
@@ -118,7 +118,7 @@
 }
 
 template<typename Value>
-std::optional<Value> decodeAll(core::byte_view bytes)
+std::optional<Value> decodeAll(base::byte_view bytes)
 {
     try {
         input.buffer.setView(bytes);
@@ -133,46 +133,46 @@
 }
 
 template<typename Document>
-core::byte_vector encodeDocument(const Document &document)
+base::byte_vector encodeDocument(const Document &document)
 {
-    core::byte_vector bytes;
+    base::byte_vector bytes;
     append(document, bytes);
     return bytes;
 }
 
 } // namespace
 
-void encodeFlowMessage(const flow::peer_message &message, core::byte_vector &datagram)
+void encodeFlowMessage(const flow::peer_message &message, base::byte_vector &datagram)
 {
     datagram.clear();
     datagram.push_back(protocolVersion);
     append(message, datagram);
 }
 
-std::optional<flow::peer_message> decodeFlowMessage(core::byte_view datagram)
+std::optional<flow::peer_message> decodeFlowMessage(base::byte_view datagram)
 {
     if (datagram.size() < 2 || datagram.size() > maxFlowDatagram || datagram[0] != protocolVersion)
         return std::nullopt;
     return decodeAll<flow::peer_message>(datagram.subspan(1));
 }
 
-core::byte_vector flow_document_codec::encode(const flow::flow_configuration &configuration) const
+base::byte_vector flow_document_codec::encode(const flow::flow_configuration &configuration) const
 {
     return encodeDocument(configuration);
 }
 
-core::byte_vector flow_document_codec::encode(const flow::upstream_list &list) const
+base::byte_vector flow_document_codec::encode(const flow::upstream_list &list) const
 {
     return encodeDocument(list);
 }
 
 std::optional<flow::flow_configuration>
-flow_document_codec::decodeConfiguration(core::byte_view bytes) const
+flow_document_codec::decodeConfiguration(base::byte_view bytes) const
 {
     return decodeAll<flow::flow_configuration>(bytes);
 }
 
-std::optional<flow::upstream_list> flow_document_codec::decodeUpstreams(core::byte_view bytes) const
+std::optional<flow::upstream_list> flow_document_codec::decodeUpstreams(base::byte_view bytes) const
 {
     return decodeAll<flow::upstream_list>(bytes);
 }
--- a/packages/wire/src/internal/memory_stream.h
+++ b/packages/wire/src/internal/memory_stream.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "oriolehold/core/types.h"
+#include "oriolehold/base/types.h"
 
 #include <istream>
 #include <ostream>
@@ -14,7 +14,7 @@
 class view_buffer final : public std::streambuf
 {
 public:
-    void setView(core::byte_view view)
+    void setView(base::byte_view view)
     {
         // std::streambuf wants mutable characters but only reads them here.
         auto *begin = const_cast<char *>(reinterpret_cast<const char *>(view.data()));
@@ -26,7 +26,7 @@
 class append_buffer final : public std::streambuf
 {
 public:
-    void setTarget(core::byte_vector &target) { m_target = &target; }
+    void setTarget(base::byte_vector &target) { m_target = &target; }
 
 private:
     std::streamsize xsputn(const char *data, std::streamsize size) override
@@ -41,7 +41,7 @@
         return value;
     }
 
-    core::byte_vector *m_target = nullptr;
+    base::byte_vector *m_target = nullptr;
 };
 
 // A stream over one of the buffers above. Constructing a stream costs as much as the rest of an
--- a/packages/wire/src/internal/serialization.h
+++ b/packages/wire/src/internal/serialization.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "oriolehold/core/types.h"
+#include "oriolehold/base/types.h"
 
 #include <cereal/archives/portable_binary.hpp>
 
@@ -8,7 +8,7 @@
 
 // Serialization of the types that both datagram formats use.
 
-namespace oriolehold::core {
+namespace oriolehold::base {
 
 template<typename Archive>
 void serialize(Archive &archive, endpoint &value)
@@ -16,7 +16,7 @@
     archive(value.address, value.port);
 }
 
-} // namespace oriolehold::core
+} // namespace oriolehold::base
 
 namespace oriolehold::wire::internal {
 
@@ -87,7 +87,7 @@
     }
 };
 
-using microseconds = duration_count<core::duration>;
+using microseconds = duration_count<base::duration>;
 using milliseconds = duration_count<std::chrono::milliseconds>;
 
 // Serialization of a sequence with a 16-bit length prefix. Each element takes at least one byte, so
