Release held requests that can be in time before late ones; hold by the route's time-out

Cause: after a loss of power agents hold the backlog of the outage. Late urgent requests and flows that were opened by a repeated opening packet went before fresh ones, and after a fixed 700 ms the whole backlog passed at once, so that fresh requests queued behind it at the upstreams. Change: packets to agents carry the route's latency objective and time-out in the part of the head that returned packets lose. The gate releases requests that can still be in time first; a request is held for at most 0.45 of its time-out. The protocol between the processes is version 2. Tests for its datagrams, of which there were none. Tests that failed first: RequestThatCanBeInTimeGoesBeforeAnUrgentLateOne, RequestBehindARepeatedOpeningPacketCountsAsLate. Ruled out by trials: slower release of overdue requests, oldest first among the late, shorter holds (docs/MEASUREMENTS.md).

--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -115,8 +115,10 @@
     void receiveReturned(const packet_head &head, base::byte_view packet, base::time_point now);
     void open(const packet_head &head, base::byte_view packet, const flow_route &route,
               base::time_point now);
-    std::uint8_t priorityOf(const base::endpoint &service) const;
     void forward(const owner &item, const base::endpoint &service, base::byte_view packet);
+    // route may be null: its times and priority are unknown then.
+    void sendTagged(packet_tag::instruction kind, std::uint32_t digest, const flow_route *route,
+                    std::uint32_t machine, base::byte_view packet);
     void probe(const flow_key &key, const flow_route &route, const packet_head &head,
                base::byte_view packet, std::uint32_t except, base::time_point now);
     void deny(const flow_key &key, std::uint32_t machine);
--- a/packages/flow/include/oriolehold/flow/flow_agent.h
+++ b/packages/flow/include/oriolehold/flow/flow_agent.h
@@ -68,8 +68,9 @@
     struct flow_state
     {
         base::time_point lastSeen {};
-        base::time_point requestAt {};     // epoch: no request at the upstream
-        base::duration held {};            // of that request
+        base::time_point openingAt {}; // when the client sent the first copy of its opening packet
+        base::time_point requestAt {}; // epoch: no request at the upstream
+        base::duration held {};        // of that request
         std::uint32_t requestSequence = 0; // after the last data that was counted
         std::uint8_t priority = 0;         // of that request
         bool open = false;
@@ -103,6 +104,9 @@
     void receiveReturned(const packet_head &head, base::byte_view packet, base::time_point now);
     // Whether the packet begins a request that was not seen yet.
     static bool beginsRequest(const flow_state &state, const packet_head &head);
+    // Of a request whose first packet comes now.
+    request_terms termsOf(const flow_state &state, const packet_tag &tag,
+                          base::time_point now) const;
     void beginRequest(flow_state &state, std::uint8_t priority, base::duration held,
                       base::time_point now);
     // Sends the packet to the upstream, or holds it while the upstream is busy.
--- a/packages/flow/include/oriolehold/flow/packet.h
+++ b/packages/flow/include/oriolehold/flow/packet.h
@@ -2,6 +2,7 @@
 
 #include "oriolehold/base/types.h"
 
+#include <chrono>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -47,13 +48,17 @@
     std::uint32_t value = 0;
     // Urgency of the route's requests, 0 is the most urgent. 4 bits.
     std::uint8_t priority = 0;
+    // Of the route's requests; only on the way to an agent. 0 means "unknown".
+    std::chrono::milliseconds latencyObjective {}; // in steps of 10 ms, at most 40.95 s
+    std::chrono::milliseconds timeout {};          // in steps of 100 ms, at most 409.5 s
 
     bool operator==(const packet_tag &) const = default;
 };
 
-std::uint32_t pack(const packet_tag &tag);
+// The low 32 bits hold what an upstream returns unchanged, the next 24 bits the two times.
+std::uint64_t pack(const packet_tag &tag);
 // Unknown instructions are read as none.
-packet_tag unpackTag(std::uint32_t bits);
+packet_tag unpackTag(std::uint64_t bits);
 
 // 24 bits.
 std::uint32_t serviceDigest(std::string_view serviceName);
--- a/packages/flow/include/oriolehold/flow/request_gate.h
+++ b/packages/flow/include/oriolehold/flow/request_gate.h
@@ -13,12 +13,19 @@
 
 namespace oriolehold::flow {
 
+// What is known of a request when it comes.
+struct request_terms
+{
+    std::uint8_t priority = 0;       // 0 is the most urgent
+    base::time_point inTimeUntil {}; // begun later, it misses its latency objective
+    // It is let through then in any case, so that the upstream itself serves or refuses it well
+    // before its client gives up.
+    base::time_point passAt {};
+};
+
 class request_gate
 {
 public:
-    // A held request is let through after this time in any case, so that the upstream itself serves
-    // or refuses it well before the deadline of its client.
-    static constexpr std::chrono::milliseconds maxHold { 700 };
     // Requests that may wait at the upstream beside those that it works on. They keep its slots
     // busy while an answer is on its way.
     static constexpr std::uint32_t allowance = 1;
@@ -38,7 +45,7 @@
     bool holds(const flow_key &key) const { return m_held.contains(key); }
     // Keeps a packet of a request. The first packet of a flow starts the wait; retransmissions are
     // dropped.
-    void hold(const flow_key &key, std::uint8_t priority, std::uint32_t sequence,
+    void hold(const flow_key &key, const request_terms &terms, std::uint32_t sequence,
               base::byte_view packet, base::time_point now);
     void forget(const flow_key &key) { m_held.erase(key); }
 
@@ -61,12 +68,17 @@
 private:
     struct held_request
     {
-        std::uint8_t priority = 0; // 0 is the most urgent
+        request_terms terms;
         base::time_point since {};
         std::vector<std::uint32_t> sequences;
         std::vector<base::byte_vector> packets;
     };
 
+    static base::time_point passAt(const std::pair<const flow_key, held_request> &item)
+    {
+        return item.second.terms.passAt;
+    }
+
     boost::unordered_flat_map<flow_key, held_request, flow_key_hash> m_held;
     std::uint32_t m_slots = 0;
 };
--- a/packages/flow/include/oriolehold/flow/routing_view.h
+++ b/packages/flow/include/oriolehold/flow/routing_view.h
@@ -27,6 +27,9 @@
     base::endpoint address;
     std::vector<weighted_service> services;
     std::uint8_t priority = 0; // of its requests; 0 is the most urgent, 15 the least
+    // Of its requests; 0 means "unknown".
+    std::chrono::milliseconds latencyObjective {};
+    std::chrono::milliseconds timeout {};
 
     bool operator==(const flow_route &) const = default;
 };
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -60,12 +60,6 @@
     return found == m_owners.end() ? 0 : found->second.machine;
 }
 
-std::uint8_t entry_balancer::priorityOf(const base::endpoint &service) const
-{
-    const flow_route *route = routeOf(service);
-    return route == nullptr ? 0 : route->priority;
-}
-
 void entry_balancer::receivePacket(base::byte_view packet, base::time_point now)
 {
     ++m_counters.packets;
@@ -154,9 +148,20 @@
 void entry_balancer::forward(const owner &item, const base::endpoint &service,
                              base::byte_view packet)
 {
-    m_codec.copyTagged(packet, { instruction::deliver, item.serviceDigest, priorityOf(service) },
-                       m_scratch);
-    m_output.sendToAgent(item.machine, m_scratch);
+    sendTagged(instruction::deliver, item.serviceDigest, routeOf(service), item.machine, packet);
+}
+
+void entry_balancer::sendTagged(instruction kind, std::uint32_t digest, const flow_route *route,
+                                std::uint32_t machine, base::byte_view packet)
+{
+    packet_tag tag { kind, digest };
+    if (route != nullptr) {
+        tag.priority = route->priority;
+        tag.latencyObjective = route->latencyObjective;
+        tag.timeout = route->timeout;
+    }
+    m_codec.copyTagged(packet, tag, m_scratch);
+    m_output.sendToAgent(machine, m_scratch);
 }
 
 void entry_balancer::receiveReturned(const packet_head &head, base::byte_view packet,
@@ -214,11 +219,8 @@
         if (entry.denied || known == nullptr)
             continue;
         state.asked = std::max(state.asked, i + 1);
-        m_codec.copyTagged(
-                packet,
-                { instruction::probe, serviceDigest(known->record.service), route.priority },
-                m_scratch);
-        m_output.sendToAgent(entry.machine, m_scratch);
+        sendTagged(instruction::probe, serviceDigest(known->record.service), &route, entry.machine,
+                   packet);
         ++sent;
         ++m_counters.probes;
     }
--- a/packages/flow/src/flow_agent.cpp
+++ b/packages/flow/src/flow_agent.cpp
@@ -1,6 +1,7 @@
 #include "oriolehold/flow/flow_agent.h"
 
 #include <algorithm>
+#include <array>
 
 namespace oriolehold::flow {
 
@@ -28,6 +29,14 @@
 // Flows older than 60 s may be discarded.
 constexpr base::duration openLifetime = 65s;   // since the last packet
 constexpr base::duration offeredLifetime = 5s; // since the last packet; clients stop after 1.4 s
+// Clients send copies of an opening packet after these times.
+constexpr std::array<base::duration, 3> copyTimes { 0ms, 200ms, 600ms };
+// For routes without a latency objective or time-out; about the least that routes state.
+constexpr std::chrono::milliseconds defaultObjective { 100 };
+constexpr std::chrono::milliseconds defaultTimeout { 1500 };
+// A request is held for at most this part of its time-out: after half of it, its client may rather
+// have asked another upstream.
+constexpr double maxHeldPart = 0.45;
 // Longest time that a request is counted as running without an answer.
 constexpr base::duration requestLifetime = 3s;
 
@@ -77,6 +86,10 @@
     const auto [item, added] = m_flows.try_emplace(key);
     flow_state &state = item->second;
     state.lastSeen = now;
+    if (head->isOpening() && added) {
+        const std::size_t copy = std::min<std::size_t>(head->copyNumber(), copyTimes.size() - 1);
+        state.openingAt = now - copyTimes[copy];
+    }
     if (isProbe && state.open)
         m_output.sendMessage(entry.address, flow_claim { { key } });
     if (isProbe && added)
@@ -95,6 +108,21 @@
     && (state.requestSequence == 0 || static_cast<std::int32_t>(end - state.requestSequence) > 0);
 }
 
+request_terms flow_agent::termsOf(const flow_state &state, const packet_tag &tag,
+                                  base::time_point now) const
+{
+    const auto orDefault = [](std::chrono::milliseconds value, std::chrono::milliseconds other) {
+        return value.count() > 0 ? value : other;
+    };
+    const base::duration objective = orDefault(tag.latencyObjective, defaultObjective);
+    const base::duration timeout = orDefault(tag.timeout, defaultTimeout);
+    // The first request of a flow was asked when its client began to open the flow.
+    const bool first = state.requestSequence == 0 && state.openingAt != base::time_point {};
+    const base::time_point askedAt = first ? state.openingAt : now;
+    return { tag.priority, askedAt + objective - m_load.meanServiceTime(),
+             now + std::chrono::duration_cast<base::duration>(timeout * maxHeldPart) };
+}
+
 void flow_agent::beginRequest(flow_state &state, std::uint8_t priority, base::duration held,
                               base::time_point now)
 {
@@ -114,7 +142,7 @@
     const bool mayWait = waits || (begins && state.answered && m_gate.closed(m_load.running()));
     if (head.payloadSize > 0 && mayWait) {
         m_counters.held += begins ? 1 : 0;
-        m_gate.hold(key, head.tag.priority, head.sequence, m_scratch, now);
+        m_gate.hold(key, termsOf(state, head.tag, now), head.sequence, m_scratch, now);
         return;
     }
     if (begins)
--- a/packages/flow/src/packet.cpp
+++ b/packages/flow/src/packet.cpp
@@ -2,6 +2,8 @@
 
 #include "oriolehold/base/hash.h"
 
+#include <algorithm>
+
 namespace oriolehold::flow {
 
 namespace {
@@ -10,6 +12,16 @@
 constexpr unsigned priorityShift = 24;
 constexpr std::uint32_t priorityMask = 0xf;
 constexpr std::uint32_t valueMask = (1U << priorityShift) - 1;
+constexpr unsigned objectiveShift = 32;
+constexpr unsigned timeoutShift = 44;
+constexpr std::uint64_t stepsMask = 0xfff;
+constexpr std::chrono::milliseconds objectiveStep { 10 };
+constexpr std::chrono::milliseconds timeoutStep { 100 };
+
+std::uint64_t stepsOf(std::chrono::milliseconds time, std::chrono::milliseconds step)
+{
+    return std::min(static_cast<std::uint64_t>(std::max<std::int64_t>(time / step, 0)), stepsMask);
+}
 
 std::uint64_t bitsOf(const base::endpoint &value)
 {
@@ -28,19 +40,24 @@
     return base::toString(key.client) + '>' + base::toString(key.service);
 }
 
-std::uint32_t pack(const packet_tag &tag)
+std::uint64_t pack(const packet_tag &tag)
 {
-    return static_cast<std::uint32_t>(tag.kind) << instructionShift
+    const std::uint32_t returned = static_cast<std::uint32_t>(tag.kind) << instructionShift
             | (tag.priority & priorityMask) << priorityShift | (tag.value & valueMask);
+    return stepsOf(tag.timeout, timeoutStep) << timeoutShift
+            | stepsOf(tag.latencyObjective, objectiveStep) << objectiveShift | returned;
 }
 
-packet_tag unpackTag(std::uint32_t bits)
+packet_tag unpackTag(std::uint64_t bits)
 {
-    const std::uint32_t kind = bits >> instructionShift;
+    const auto returned = static_cast<std::uint32_t>(bits);
+    const std::uint32_t kind = returned >> instructionShift;
     if (kind > static_cast<std::uint32_t>(packet_tag::instruction::refused))
         return {};
-    return { static_cast<packet_tag::instruction>(kind), bits & valueMask,
-             static_cast<std::uint8_t>(bits >> priorityShift & priorityMask) };
+    return { static_cast<packet_tag::instruction>(kind), returned & valueMask,
+             static_cast<std::uint8_t>(returned >> priorityShift & priorityMask),
+             static_cast<std::int64_t>(bits >> objectiveShift & stepsMask) * objectiveStep,
+             static_cast<std::int64_t>(bits >> timeoutShift & stepsMask) * timeoutStep };
 }
 
 std::uint32_t serviceDigest(std::string_view serviceName)
--- a/packages/flow/tests/entry_balancer_test.cpp
+++ b/packages/flow/tests/entry_balancer_test.cpp
@@ -6,6 +6,7 @@
 
 using namespace oriolehold;
 using namespace oriolehold::flow;
+using namespace std::chrono_literals;
 using instruction = packet_tag::instruction;
 
 namespace {
@@ -44,7 +45,7 @@
     void setup() override
     {
         routes.version = 5;
-        routes.routes = { { ordersAddress, { { "orders", 1 } }, 2 } };
+        routes.routes = { { ordersAddress, { { "orders", 1 } }, 2, 100ms, 1500ms } };
         upstreams.upstreams = { record(1), record(2), record(3), record(4, "catalog") };
     }
 
@@ -98,6 +99,8 @@
     CHECK_TRUE(output.toAgents[0].head.tag.kind == instruction::deliver);
     CHECK_EQUAL(serviceDigest("orders"), output.toAgents[0].head.tag.value);
     CHECK_EQUAL(2, output.toAgents[0].head.tag.priority);
+    CHECK_EQUAL(100, output.toAgents[0].head.tag.latencyObjective.count());
+    CHECK_EQUAL(1500, output.toAgents[0].head.tag.timeout.count());
 }
 
 // Two upstreams would accept the flow if copies went different ways.
--- a/packages/flow/tests/flow_agent_test.cpp
+++ b/packages/flow/tests/flow_agent_test.cpp
@@ -73,11 +73,14 @@
         agent.receiveMessage(entry.address, entry_hello { bootId, "zone-a", slots },
                              atMilliseconds(0));
     }
-    // Opens one flow and sends its request; the port tells the flows apart.
-    void request(std::uint16_t port, std::int64_t at, std::uint8_t priority = 1)
+    // Opens one flow and sends its request; the port tells the flows apart. copy is the number of
+    // the opening packet's copy that comes.
+    void request(std::uint16_t port, std::int64_t at, std::uint8_t priority = 1,
+                 std::uint32_t copy = 0)
     {
         packet_head head = opening();
         head.source.port = port;
+        head.acknowledgement = copy;
         receive(head, at);
         head = fromUpstream();
         head.destination.port = port;
@@ -86,6 +89,8 @@
         head = fromClient(instruction::deliver, 200);
         head.source.port = port;
         head.tag.priority = priority;
+        head.tag.latencyObjective = std::chrono::milliseconds { 100 };
+        head.tag.timeout = std::chrono::milliseconds { 2000 };
         receive(head, at);
     }
     std::vector<std::uint16_t> portsOfRequests() const
@@ -297,13 +302,39 @@
     CHECK_EQUAL(4, portsOfRequests().back());
 }
 
+// After an outage urgent requests that were late already made fresh ones late as well.
+TEST(flow_agent, RequestThatCanBeInTimeGoesBeforeAnUrgentLateOne)
+{
+    greet(1, 2);
+    for (std::uint16_t port = 1; port <= 4; ++port)
+        request(port, port, 0);
+    request(5, 150, 2);
+    finish(1, 160);
+
+    CHECK_EQUAL(5, portsOfRequests().back());
+}
+
+// A client that repeats its opening packet has waited since the first copy.
+TEST(flow_agent, RequestBehindARepeatedOpeningPacketCountsAsLate)
+{
+    greet(1, 2);
+    for (std::uint16_t port = 1; port <= 4; ++port)
+        request(port, port);
+    request(5, 10, 1, 1);
+    finish(1, 20);
+
+    CHECK_EQUAL(4, portsOfRequests().back());
+}
+
 // Held requests are offered to the upstream, which serves or refuses them, before clients give up.
-TEST(flow_agent, HeldRequestIsLetThroughAfterAWhile)
+TEST(flow_agent, HeldRequestIsLetThroughBeforeHalfOfItsTimeout)
 {
     greet(1, 2);
     for (std::uint16_t port = 1; port <= 4; ++port)
         request(port, port);
-    agent.tick(atMilliseconds(800));
+    agent.tick(atMilliseconds(850));
+    CHECK_EQUAL(3, portsOfRequests().size());
+    agent.tick(atMilliseconds(950));
 
     CHECK_EQUAL(4, portsOfRequests().size());
 }
--- a/packages/flow/tests/flow_fakes.h
+++ b/packages/flow/tests/flow_fakes.h
@@ -63,7 +63,8 @@
         base::endpoint source;
         base::endpoint destination;
         bool opens, acks, finishes, resets, returned;
-        std::uint32_t tag, sequence, ack;
+        std::uint64_t tag;
+        std::uint32_t sequence, ack;
         std::uint16_t size;
     };
 };
--- a/packages/flow/tests/packet_test.cpp
+++ b/packages/flow/tests/packet_test.cpp
@@ -9,11 +9,24 @@
 
 TEST(packet, TagSurvivesPacking)
 {
-    const packet_tag tag { packet_tag::instruction::refused, 0xabcdef, 15 };
+    const packet_tag tag { packet_tag::instruction::refused, 0xabcdef, 15,
+                           std::chrono::milliseconds { 150 }, std::chrono::milliseconds { 8000 } };
 
     CHECK_TRUE(unpackTag(pack(tag)) == tag);
 }
 
+// A time that does not fit must not spill into another field.
+TEST(packet, LongTimesAreCutToTheLargestValue)
+{
+    const packet_tag tag { packet_tag::instruction::deliver, 0, 0, std::chrono::hours { 24 },
+                           std::chrono::hours { 24 } };
+    const packet_tag read = unpackTag(pack(tag));
+
+    CHECK_EQUAL(40950, read.latencyObjective.count());
+    CHECK_EQUAL(409500, read.timeout.count());
+    CHECK_EQUAL(0, read.value);
+}
+
 // Clients and upstreams write zero; anything else that is unknown must not be taken for an
 // instruction.
 TEST(packet, UnknownInstructionIsNone)
--- a/packages/wire/src/flow_datagram.cpp
+++ b/packages/wire/src/flow_datagram.cpp
@@ -75,7 +75,8 @@
 template<typename Archive>
 void serialize(Archive &archive, flow_route &value)
 {
-    archive(value.address, bounded_list<weighted_service> { value.services }, value.priority);
+    archive(value.address, bounded_list<weighted_service> { value.services }, value.priority,
+            milliseconds { value.latencyObjective }, milliseconds { value.timeout });
 }
 
 template<typename Archive>
@@ -104,7 +105,7 @@
 
 namespace {
 
-constexpr std::uint8_t protocolVersion = 1;
+constexpr std::uint8_t protocolVersion = 2;
 
 thread_local internal::buffered_stream<std::ostream, internal::append_buffer> output;
 thread_local internal::buffered_stream<std::istream, internal::view_buffer> input;
--- /dev/null
+++ b/packages/wire/tests/flow_datagram_test.cpp
@@ -0,0 +1,121 @@
+#include "oriolehold/wire/flow_datagram.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace oriolehold;
+using namespace std::chrono_literals;
+
+namespace {
+
+const flow::flow_key key { { 0x64400007, 40001 }, { 0xc6120001, 443 } };
+
+std::vector<flow::peer_message> examples()
+{
+    return { flow::entry_hello { 7, "zone-a", 4 },
+             flow::load_report { 8, 3, 2500, 120, 13ms, false },
+             flow::flow_claim { { key, key } },
+             flow::flow_denial { key },
+             flow::view_news { 5, 6, 7, 250ms },
+             flow::view_request { true, false },
+             flow::view_page { flow::document_kind::upstreams, 9, 1s, 1, 3,
+                               base::byte_vector(1000, 0x5a) } };
+}
+
+base::byte_vector encoded(const flow::peer_message &message)
+{
+    base::byte_vector datagram;
+    wire::encodeFlowMessage(message, datagram);
+    return datagram;
+}
+
+flow::flow_configuration configurationExample()
+{
+    flow::flow_configuration configuration;
+    configuration.version = 12;
+    configuration.routes = { { key.service, { { "orders", 90 }, { "catalog", 10 } }, 2, 100ms, 8s },
+                             { { 1, 2 }, { { "catalog", 1 } } } };
+    configuration.idleTimeout = 9s;
+    return configuration;
+}
+
+flow::upstream_list listExample()
+{
+    flow::upstream_list list;
+    list.revision = 44;
+    list.upstreams = { { "i-1",
+                         "orders",
+                         { 3, 4 },
+                         "zone-b",
+                         2,
+                         flow::upstream_phase::draining,
+                         400ms,
+                         1700000000000 } };
+    return list;
+}
+
+} // namespace
+
+TEST_GROUP(flow_datagram)
+{
+    wire::flow_document_codec documents;
+};
+
+TEST(flow_datagram, EveryMessageIsReadBack)
+{
+    for (const flow::peer_message &message : examples()) {
+        const auto read = wire::decodeFlowMessage(encoded(message));
+
+        CHECK_TRUE(read.has_value());
+        CHECK_TRUE(*read == message);
+    }
+}
+
+TEST(flow_datagram, DocumentsAreReadBack)
+{
+    const auto configuration =
+            documents.decodeConfiguration(documents.encode(configurationExample()));
+    const auto list = documents.decodeUpstreams(documents.encode(listExample()));
+
+    CHECK_TRUE(configuration == configurationExample());
+    CHECK_TRUE(list == listExample());
+}
+
+// A datagram cut short must not be taken for a shorter message.
+TEST(flow_datagram, CutMessagesAreRejected)
+{
+    for (const flow::peer_message &message : examples()) {
+        const base::byte_vector whole = encoded(message);
+        for (std::size_t size = 0; size < whole.size(); ++size)
+            CHECK_FALSE(wire::decodeFlowMessage(base::byte_view(whole).first(size)).has_value());
+    }
+}
+
+TEST(flow_datagram, CutDocumentsAreRejected)
+{
+    const base::byte_vector whole = documents.encode(configurationExample());
+    for (std::size_t size = 0; size < whole.size(); ++size)
+        CHECK_FALSE(documents.decodeConfiguration(base::byte_view(whole).first(size)).has_value());
+}
+
+// Processes of another release lay out messages differently.
+TEST(flow_datagram, AnotherProtocolVersionIsRejected)
+{
+    base::byte_vector datagram = encoded(examples().front());
+    ++datagram[0];
+
+    CHECK_FALSE(wire::decodeFlowMessage(datagram).has_value());
+}
+
+// Any single damaged byte either still decodes or is rejected; it must not throw or read past the
+// end.
+TEST(flow_datagram, DamagedMessagesDoNoHarm)
+{
+    for (const flow::peer_message &message : examples()) {
+        const base::byte_vector whole = encoded(message);
+        for (std::size_t position = 0; position < whole.size(); ++position) {
+            base::byte_vector damaged = whole;
+            damaged[position] ^= 0xff;
+            (void)wire::decodeFlowMessage(damaged);
+        }
+    }
+}
