Share the reads of instances whose searches wait for a newer list

Cause: every entry instance with an unfinished search read the store each 100 ms. After an outage all of them search; 620 instances would make 12,400 calls a second against 2,000 allowed. Change: such a read is due 100 to 200 ms after the last list, read here or heard of. One instance reads, the others hear. Test that failed first: InstanceThatJustHeardAListDoesNotReadForASearch. Ruled out: reading only the upstreams for a search; the news would then claim an age that the configuration does not have.

--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -149,6 +149,7 @@
     base::time_point m_nextExpiry {};
     base::time_point m_greetedAt {};
     base::time_point m_agentHeardAt {}; // the last message of any agent
+    base::time_point m_listAt {};       // when the last list came, read here or by another instance
     bool m_searchNeedsRead = false;     // a search waits for a newer list
     base::byte_vector m_scratch;
     entry_counters m_counters;
--- a/packages/flow/include/oriolehold/flow/read_schedule.h
+++ b/packages/flow/include/oriolehold/flow/read_schedule.h
@@ -18,16 +18,19 @@
     // After a read that gave nothing, while there is a view and while there is none.
     static constexpr std::chrono::milliseconds retryInterval { 1000 };
     static constexpr std::chrono::milliseconds firstRetryInterval { 400 };
-    // Between reads that a decision waits for.
+    // Between a list and a read that a decision waits for. A list that another instance read counts
+    // as older by view_exchange's transfer time, so a round of this length serves all instances.
     static constexpr std::chrono::milliseconds urgentInterval { 100 };
+    // Part of the offset that is added to it, so that one of many waiting instances reads for all.
+    static constexpr int urgentOffsetPart = 6;
 
     // number is random and decides the offset.
     explicit read_schedule(std::uint64_t number);
 
     // readAt is the time of the read that the view rests on; complete tells whether there is one.
     bool due(base::time_point now, base::time_point readAt, bool complete) const;
-    // The same when a decision waits for a newer view.
-    bool urgentlyDue(base::time_point now) const { return now >= m_begunAt + urgentInterval; }
+    // The same when a decision waits for a newer list; listAt is when the last one came.
+    bool urgentlyDue(base::time_point now, base::time_point listAt) const;
     // Time of the next turn if nothing changes.
     base::time_point next(base::time_point readAt, bool complete) const;
     void begin(base::time_point now) { m_begunAt = now; }
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -345,6 +345,7 @@
 void entry_balancer::upstreamsRead(const upstream_list &list, base::time_point readAt,
                                    base::time_point now)
 {
+    m_listAt = now;
     const bool first = m_directory.readAt() == base::time_point {};
     m_directory.update(list, readAt, now,
                        [this](const directory_change &change) { m_observer.changed(change); });
@@ -355,7 +356,7 @@
 bool entry_balancer::readDue(base::time_point now) const
 {
     return m_schedule.due(now, m_view.readAt(), m_view.complete())
-            || (m_searchNeedsRead && m_schedule.urgentlyDue(now));
+            || (m_searchNeedsRead && m_schedule.urgentlyDue(now, m_listAt));
 }
 
 void entry_balancer::beginRead(base::time_point now)
--- a/packages/flow/src/read_schedule.cpp
+++ b/packages/flow/src/read_schedule.cpp
@@ -20,4 +20,10 @@
     return now >= next(readAt, complete);
 }
 
+bool read_schedule::urgentlyDue(base::time_point now, base::time_point listAt) const
+{
+    return now >= m_begunAt + urgentInterval
+            && now >= listAt + urgentInterval + m_offset / urgentOffsetPart;
+}
+
 } // namespace oriolehold::flow
--- a/packages/flow/tests/entry_balancer_test.cpp
+++ b/packages/flow/tests/entry_balancer_test.cpp
@@ -220,6 +220,22 @@
     CHECK_EQUAL(1, output.toClients.size());
 }
 
+// After an outage every instance searches flows; each would read the store ten times a second.
+TEST(entry_balancer, InstanceThatJustHeardAListDoesNotReadForASearch)
+{
+    publish(0);
+    receive(packet(), 1000);
+    denyAll(1002);
+    view_news news = balancer.view().news(atMilliseconds(1010));
+    news.upstreamRevision += 1;
+    news.age = {};
+    balancer.receiveMessage(1, news, atMilliseconds(1010));
+    balancer.tick(atMilliseconds(1011));
+
+    CHECK_FALSE(balancer.readDue(atMilliseconds(1100)));
+    CHECK_TRUE(balancer.readDue(atMilliseconds(1220)));
+}
+
 TEST(entry_balancer, FlowIsNotResetWhenANewUpstreamWasNotAsked)
 {
     publish(0);
