Reload settings when their file changes without a signal

Cause: only SIGHUP made a process read its settings again; the platform may rewrite the file alone. Ruled out: inotify, which misses files on the network and needs another descriptor in the loop.

--- a/packages/agent/include/oriolehold/agent/flow_agent_daemon.h
+++ b/packages/agent/include/oriolehold/agent/flow_agent_daemon.h
@@ -27,6 +27,7 @@
     void start() override;
     void drain() override;
     // Nothing of an agent's settings can change while it runs; logs whether they did.
+    std::string settingsFile() const override { return m_settings.file; }
     void reload() override;
     bool drained() const override { return m_draining.load(); }
     void stop() override;
--- a/packages/daemon/include/oriolehold/daemon/managed_process.h
+++ b/packages/daemon/include/oriolehold/daemon/managed_process.h
@@ -19,6 +19,8 @@
     virtual bool drained() const = 0;
     // Work that a stop would cut off now, for the log; empty when there is none.
     virtual std::string remainingWork() const { return {}; }
+    // A file whose changes reload the process, also without a signal. Empty: none.
+    virtual std::string settingsFile() const { return {}; }
     // The settings file may have changed. Called by the thread of runUntilStopped().
     virtual void reload() { }
     // Ends all threads.
@@ -39,7 +41,7 @@
 void blockStopSignals();
 
 // Starts the process and returns after it was stopped. The first SIGTERM or SIGINT drains; a second
-// one, or the end of drainLimit, stops at once. SIGHUP reloads.
+// one, or the end of drainLimit, stops at once. SIGHUP and a change of the settings file reload.
 stop_result runUntilStopped(managed_process &process, std::chrono::milliseconds drainLimit);
 
 } // namespace oriolehold::daemon
--- a/packages/daemon/src/managed_process.cpp
+++ b/packages/daemon/src/managed_process.cpp
@@ -1,5 +1,7 @@
 #include "oriolehold/daemon/managed_process.h"
 
+#include "oriolehold/daemon/file_watch.h"
+
 #include <csignal>
 #include <optional>
 
@@ -10,6 +12,8 @@
 using steady_time = std::chrono::steady_clock::time_point;
 
 constexpr timespec pollInterval { 0, 50'000'000 }; // 50 ms
+// Between looks at the settings file. Changes are to be in force within 3 s.
+constexpr std::chrono::milliseconds fileInterval { 1000 };
 
 sigset_t handledSignals()
 {
@@ -34,13 +38,20 @@
     const sigset_t signals = handledSignals();
     std::optional<steady_time> deadline;
     stop_result result;
+    file_watch settings(process.settingsFile());
+    steady_time nextLook = std::chrono::steady_clock::now() + fileInterval;
     process.start();
     while (!process.drained()) {
         const int signal = sigtimedwait(&signals, nullptr, &pollInterval);
-        if (signal == SIGHUP)
+        const steady_time now = std::chrono::steady_clock::now();
+        bool reload = signal == SIGHUP;
+        if (reload || now >= nextLook) {
+            reload = settings.changed() || reload;
+            nextLook = now + fileInterval;
+        }
+        if (reload)
             process.reload();
         const bool signaled = signal > 0 && signal != SIGHUP;
-        const steady_time now = std::chrono::steady_clock::now();
         if (signaled && deadline) {
             result.reason = stop_reason::secondSignal;
             break;
--- a/packages/daemon/tests/managed_process_test.cpp
+++ b/packages/daemon/tests/managed_process_test.cpp
@@ -3,6 +3,8 @@
 #include <CppUTest/TestHarness.h>
 
 #include <csignal>
+#include <filesystem>
+#include <fstream>
 #include <unistd.h>
 
 using namespace oriolehold::daemon;
@@ -14,7 +16,14 @@
 class fake_process final : public managed_process
 {
 public:
-    void start() override { kill(getpid(), firstSignal); }
+    void start() override
+    {
+        if (firstSignal != 0)
+            kill(getpid(), firstSignal);
+        else
+            std::ofstream(file) << "changed";
+    }
+    std::string settingsFile() const override { return file; }
     void reload() override
     {
         ++reloads;
@@ -35,6 +44,7 @@
     bool signalWhileDraining = false;
     bool isDrained = false;
     int firstSignal = SIGTERM;
+    std::string file;
     int reloads = 0;
     int drains = 0;
     int stops = 0;
@@ -88,3 +98,16 @@
     CHECK_EQUAL(1, process.reloads);
     CHECK_EQUAL(1, process.drains);
 }
+
+// The platform rewrites the settings file without a signal.
+TEST(managed_process, ChangedSettingsFileReloads)
+{
+    process.firstSignal = 0;
+    process.file = "managed_process_test." + std::to_string(getpid());
+    std::ofstream(process.file) << "first";
+    const stop_result result = runUntilStopped(process, 10s);
+    std::filesystem::remove(process.file);
+
+    CHECK_TRUE(result.reason == stop_reason::drained);
+    CHECK_EQUAL(1, process.reloads);
+}
--- a/packages/entry/include/oriolehold/entry/flow_entry_daemon.h
+++ b/packages/entry/include/oriolehold/entry/flow_entry_daemon.h
@@ -32,6 +32,7 @@
 
     void start() override;
     void drain() override;
+    std::string settingsFile() const override { return m_settings.file; }
     void reload() override;
     bool drained() const override;
     void stop() override;
