Measure the flow path per packet and flow; add candidates of a search in linear time

Cause: nothing measured what a packet costs in the core. Change: entry_bench (scripts/bench.sh flow); candidates are added once per list and configuration, with a set.

--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -9,6 +9,7 @@
 #include "oriolehold/flow/view_exchange.h"
 
 #include <boost/unordered/unordered_flat_map.hpp>
+#include <boost/unordered/unordered_flat_set.hpp>
 
 #include <deque>
 
@@ -102,6 +103,9 @@
         base::time_point startedAt {};
         base::time_point lastPacketAt {};
         std::vector<candidate> candidates;
+        // The list and the routes that the candidates were taken from.
+        base::time_point listReadAt {};
+        std::uint64_t configurationVersion = 0;
         std::size_t asked = 0; // the first candidates were sent a probe
         packet_head lastHead;
     };
@@ -121,6 +125,8 @@
                     std::uint32_t machine, base::byte_view packet);
     void probe(const flow_key &key, const flow_route &route, const packet_head &head,
                base::byte_view packet, std::uint32_t except, base::time_point now);
+    // Adds the upstreams that the present view has and the search does not know.
+    void addCandidates(search &state, const flow_route &route, std::uint32_t except);
     void deny(const flow_key &key, std::uint32_t machine);
     void claim(const flow_key &key, std::uint32_t machine, base::time_point now);
     // Resets the client if that is safe, else drops the packet.
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -205,11 +205,7 @@
                              .configurationVersion = m_view.configuration().version,
                              .viewAge = now - m_directory.readAt() });
     }
-    for (const std::uint32_t machine : m_directory.owners(route, m_identity.zone)) {
-        if (std::ranges::find(state.candidates, machine, &candidate::machine)
-            == state.candidates.end())
-            state.candidates.push_back({ machine, machine == except });
-    }
+    addCandidates(state, route, except);
     state.lastPacketAt = now;
     state.lastHead = head;
     std::size_t sent = 0;
@@ -226,6 +222,22 @@
     }
 }
 
+void entry_balancer::addCandidates(search &state, const flow_route &route, std::uint32_t except)
+{
+    const std::uint64_t version = m_view.configuration().version;
+    if (state.listReadAt == m_directory.readAt() && state.configurationVersion == version)
+        return;
+    state.listReadAt = m_directory.readAt();
+    state.configurationVersion = version;
+    boost::unordered_flat_set<std::uint32_t> known;
+    for (const candidate &item : state.candidates)
+        known.insert(item.machine);
+    for (const std::uint32_t machine : m_directory.owners(route, m_identity.zone)) {
+        if (!known.contains(machine))
+            state.candidates.push_back({ machine, machine == except });
+    }
+}
+
 void entry_balancer::receiveMessage(std::uint32_t machine, const peer_message &message,
                                     base::time_point now)
 {
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Installs the packages, builds with benchmarks and runs them. Prints Markdown on the standard
 # output and writes no files outside the build folder.
-# Usage: scripts/bench.sh [all | entry | scheduling | balancing | capacity | daemon]
+# Usage: scripts/bench.sh [all | entry | flow | scheduling | balancing | capacity | daemon]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 name="${1:-all}"
@@ -9,7 +9,7 @@
 dir=build-bench
 programs="$dir/packages"
 case "$name" in
-all | entry | scheduling | balancing | capacity | daemon) ;;
+all | entry | flow | scheduling | balancing | capacity | daemon) ;;
 *) echo "bench.sh: unknown name $name" >&2; exit 2 ;;
 esac
 scripts/install.sh >&2
@@ -34,6 +34,9 @@
 if selected entry; then
     run 1 "$programs/core/core_bench" --benchmark_min_time=0.2 --benchmark_color=false 2>&1
 fi
+if selected flow; then
+    run 1 "$programs/entry/entry_bench" --benchmark_min_time=0.2 --benchmark_color=false 2>&1
+fi
 if selected scheduling; then
     run "$seed" "$programs/core/scheduling_comparison" --seed "$seed"
 fi
