Place flows by expected time on the better of two drawn upstreams

Cause: least load chose by the number of requests per slot. Upstreams differ in speed by 1 to 2.4, which is not told, and all instances with the same reports chose the same upstream. Change: expected_time_policy learns the speed from the reported time per request and compares two upstreams drawn at random. least_load_policy is removed.

--- a/packages/entry/bench/flow_path_bench.cpp
+++ b/packages/entry/bench/flow_path_bench.cpp
@@ -134,7 +134,7 @@
     platform_adapter::datagram_codec m_codec;
     wire::flow_document_codec m_documents;
     base::seeded_random m_random { 1 };
-    least_load_policy m_policy { m_random };
+    expected_time_policy m_policy { m_random };
     counting_output m_output;
     silent_observer m_observer;
     entry_balancer m_balancer { { 1, "zone", {} }, m_codec,  m_documents,
--- a/packages/entry/include/oriolehold/entry/flow_entry_daemon.h
+++ b/packages/entry/include/oriolehold/entry/flow_entry_daemon.h
@@ -84,7 +84,7 @@
     socket_output m_output;
     daemon::decision_log m_log;
     core::seeded_random m_random;
-    flow::least_load_policy m_policy;
+    flow::expected_time_policy m_policy;
     flow::entry_balancer m_balancer; // traffic thread only
     std::atomic<bool> m_stopped { false };
     std::unique_ptr<flow::view_source> m_source; // control thread only
--- a/packages/flow/include/oriolehold/flow/placement_policy.h
+++ b/packages/flow/include/oriolehold/flow/placement_policy.h
@@ -4,6 +4,7 @@
 #include "oriolehold/flow/upstream_directory.h"
 
 #include <span>
+#include <vector>
 
 // Choice of the upstream for a new flow.
 
@@ -18,17 +19,23 @@
                                    std::string_view zone, base::time_point now) = 0;
 };
 
-// The upstream with the least expected load per slot. Expected load is what its agent reported,
-// plus what this entry instance has assigned since.
-class least_load_policy final : public placement_policy
+// Of two upstreams drawn at random the one that likely answers a request of the flow sooner.
+// Expected load is what the agents reported, plus what this entry instance has assigned since; it
+// counts by the time that the upstream needs for a request. The draw keeps many entry instances
+// with the same reports from choosing the same upstream.
+class expected_time_policy final : public placement_policy
 {
 public:
-    explicit least_load_policy(base::random_source &random) : m_random(random) { }
+    // random must outlive the object.
+    explicit expected_time_policy(base::random_source &random) : m_random(random) { }
 
     known_upstream *choose(std::span<known_upstream *const> candidates, std::string_view zone,
                            base::time_point now) override;
 
 private:
+    // Two different candidates, or one when there are no more.
+    std::vector<known_upstream *> draw(std::span<known_upstream *const> candidates);
+
     base::random_source &m_random;
 };
 
--- a/packages/flow/src/placement_policy.cpp
+++ b/packages/flow/src/placement_policy.cpp
@@ -1,7 +1,7 @@
 #include "oriolehold/flow/placement_policy.h"
 
 #include <algorithm>
-#include <limits>
+#include <vector>
 
 namespace oriolehold::flow {
 
@@ -16,14 +16,13 @@
 constexpr double zonePenalty = 0.15;
 // A cold upstream works slower by about this factor.
 constexpr double coldFactor = 1.6;
-// Upper end of the random part, in load per slot; keeps entry instances with the same reports from
-// choosing the same upstream.
-constexpr double spread = 0.10;
 // An agent that is silent for so long is likely unreachable.
 constexpr std::chrono::milliseconds silenceLimit { 900 };
-// Penalty for upstreams that likely refuse or are unreachable, in load per slot; larger than any
-// load.
-constexpr double avoidancePenalty = 100.0;
+// Bounds of an upstream's time for a request relative to the others. The measured time includes
+// waits and a few long requests, so it is not trusted beyond them.
+constexpr double fastestFactor = 0.4;
+constexpr double slowestFactor = 2.5;
+constexpr std::size_t drawn = 2;
 
 double expectedLoad(const known_upstream &item, base::time_point now)
 {
@@ -43,23 +42,58 @@
             || item.reportedAt == base::time_point {} || now - item.reportedAt > silenceLimit;
 }
 
-} // namespace
+double serviceTime(const known_upstream &item)
+{
+    return static_cast<double>(item.report.meanServiceTime.count());
+}
 
-known_upstream *least_load_policy::choose(std::span<known_upstream *const> candidates,
-                                          std::string_view zone, base::time_point now)
+// Mean over the upstreams that have answered requests; 0 when none has.
+double meanServiceTime(std::span<known_upstream *const> candidates)
 {
-    known_upstream *best = nullptr;
-    double bestCost = std::numeric_limits<double>::infinity();
-    for (known_upstream *item : candidates) {
-        const double cost = expectedLoad(*item, now)
-                + (item->record.zone == zone ? 0.0 : zonePenalty)
-                + (isAvoided(*item, now) ? avoidancePenalty : 0.0) + spread * m_random.unit();
-        if (cost < bestCost) {
-            bestCost = cost;
-            best = item;
-        }
+    double sum = 0.0;
+    std::size_t count = 0;
+    for (const known_upstream *item : candidates) {
+        sum += serviceTime(*item);
+        count += serviceTime(*item) > 0 ? 1 : 0;
     }
-    return best;
+    return count == 0 ? 0.0 : sum / static_cast<double>(count);
+}
+
+// Time that a new request likely takes, per slot; an idle upstream of mean speed has 1 / slots.
+double expectedTime(const known_upstream &item, double mean, base::time_point now)
+{
+    const double own = serviceTime(item);
+    const double factor =
+            own > 0 && mean > 0 ? std::clamp(own / mean, fastestFactor, slowestFactor) : 1.0;
+    return (expectedLoad(item, now) + 1.0 / std::max<double>(item.record.slots, 1.0)) * factor;
+}
+
+} // namespace
+
+std::vector<known_upstream *>
+expected_time_policy::draw(std::span<known_upstream *const> candidates)
+{
+    std::vector<known_upstream *> pool(candidates.begin(), candidates.end());
+    const std::size_t count = std::min(pool.size(), drawn);
+    for (std::size_t i = 0; i < count; ++i)
+        std::swap(pool[i], pool[i + m_random.below(pool.size() - i)]);
+    pool.resize(count);
+    return pool;
+}
+
+known_upstream *expected_time_policy::choose(std::span<known_upstream *const> candidates,
+                                             std::string_view zone, base::time_point now)
+{
+    std::vector<known_upstream *> usable(candidates.begin(), candidates.end());
+    std::erase_if(usable, [now](const known_upstream *item) { return isAvoided(*item, now); });
+    const double mean = meanServiceTime(candidates);
+    const auto cost = [&](const known_upstream *item) {
+        return expectedTime(*item, mean, now) + (item->record.zone == zone ? 0.0 : zonePenalty);
+    };
+    // When all are avoided, one of them is still better than none.
+    const auto pair = draw(usable.empty() ? candidates : std::span<known_upstream *const>(usable));
+    const auto best = std::ranges::min_element(pair, {}, cost);
+    return best == pair.end() ? nullptr : *best;
 }
 
 } // namespace oriolehold::flow
--- a/packages/flow/tests/entry_balancer_test.cpp
+++ b/packages/flow/tests/entry_balancer_test.cpp
@@ -34,7 +34,7 @@
     fake_codec codec;
     fake_document_codec documents;
     base::seeded_random random { 1 };
-    least_load_policy policy { random };
+    expected_time_policy policy { random };
     recording_entry_output output;
     recording_observer observer;
     entry_balancer balancer { { 7, "zone-a", { 99 } }, codec, documents, policy, output, observer };
--- a/packages/flow/tests/flow_world.cpp
+++ b/packages/flow/tests/flow_world.cpp
@@ -51,7 +51,7 @@
     bool inRotation = true;
     std::uint64_t life = 0;
     std::unique_ptr<base::seeded_random> random;
-    std::unique_ptr<least_load_policy> policy;
+    std::unique_ptr<expected_time_policy> policy;
     std::unique_ptr<entry_port> port;
     std::unique_ptr<recording_observer> observer;
     std::unique_ptr<entry_balancer> balancer;
@@ -236,7 +236,7 @@
     if (!item.port)
         item.port = std::make_unique<entry_port>(*this, item.machine);
     item.random = std::make_unique<base::seeded_random>(m_random.next());
-    item.policy = std::make_unique<least_load_policy>(*item.random);
+    item.policy = std::make_unique<expected_time_policy>(*item.random);
     item.observer = std::make_unique<recording_observer>();
     item.balancer = std::make_unique<entry_balancer>(entry_identity { m_random.next(), "zone", {} },
                                                      m_codec, m_documents, *item.policy, *item.port,
--- /dev/null
+++ b/packages/flow/tests/placement_policy_test.cpp
@@ -0,0 +1,117 @@
+#include "oriolehold/flow/placement_policy.h"
+
+#include "flow_fakes.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <map>
+
+using namespace oriolehold;
+using namespace oriolehold::flow;
+using namespace std::chrono_literals;
+
+namespace {
+
+const base::time_point now = atMilliseconds(0);
+
+known_upstream upstreamAt(std::uint32_t machine)
+{
+    known_upstream item;
+    item.record.address = { machine, 80 };
+    item.record.zone = "zone-a";
+    item.record.slots = 2;
+    item.listed = true;
+    item.report.meanServiceTime = 20ms;
+    item.reportedAt = now;
+    return item;
+}
+
+} // namespace
+
+TEST_GROUP(placement_policy)
+{
+    base::seeded_random random { 1 };
+    expected_time_policy policy { random };
+    std::vector<known_upstream> upstreams { upstreamAt(1), upstreamAt(2) };
+
+    // How often each machine is chosen.
+    std::map<std::uint32_t, int> choices(int count)
+    {
+        std::vector<known_upstream *> candidates;
+        for (known_upstream &item : upstreams)
+            candidates.push_back(&item);
+        std::map<std::uint32_t, int> result;
+        for (int i = 0; i < count; ++i)
+            ++result[policy.choose(candidates, "zone-a", now)->machine()];
+        return result;
+    }
+};
+
+TEST(placement_policy, NoCandidateGivesNone)
+{
+    POINTERS_EQUAL(nullptr, policy.choose({}, "zone-a", now));
+}
+
+TEST(placement_policy, LessLoadedUpstreamIsChosen)
+{
+    upstreams[0].report.running = 3;
+
+    CHECK_EQUAL(10, choices(10)[2]);
+}
+
+// Upstreams differ in speed, which nobody states; the same number of requests takes a slow one
+// longer.
+TEST(placement_policy, FasterUpstreamIsChosenAtEqualLoad)
+{
+    upstreams[0].report.running = upstreams[1].report.running = 2;
+    upstreams[0].report.meanServiceTime = 40ms;
+
+    CHECK_EQUAL(10, choices(10)[2]);
+}
+
+TEST(placement_policy, UpstreamOfTheOwnZoneIsChosenAtEqualLoad)
+{
+    upstreams[0].record.zone = "zone-b";
+
+    CHECK_EQUAL(10, choices(10)[2]);
+}
+
+TEST(placement_policy, ShorterQueueInAnotherZoneIsChosen)
+{
+    upstreams[0].report.running = 3;
+    upstreams[1].record.zone = "zone-b";
+
+    CHECK_EQUAL(10, choices(10)[2]);
+}
+
+TEST(placement_policy, SilentAndRefusingUpstreamsComeLast)
+{
+    upstreams.push_back(upstreamAt(3));
+    upstreams[0].reportedAt = now - 1s;
+    upstreams[1].avoidUntil = now + 10ms;
+    upstreams[2].report.running = 9;
+
+    CHECK_EQUAL(10, choices(10)[3]);
+}
+
+TEST(placement_policy, OneOfThemIsChosenWhenAllRefused)
+{
+    upstreams[0].avoidUntil = upstreams[1].avoidUntil = now + 10ms;
+    auto result = choices(10);
+
+    CHECK_EQUAL(10, result[1] + result[2]);
+}
+
+// With reports 200 ms old all entry instances would choose the same idle upstream and flood it.
+TEST(placement_policy, ManyInstancesWithTheSameReportsSpreadTheirFlows)
+{
+    for (std::uint32_t machine = 3; machine <= 10; ++machine)
+        upstreams.push_back(upstreamAt(machine));
+    for (std::size_t i = 1; i < upstreams.size(); ++i)
+        upstreams[i].report.running = 1;
+    const auto result = choices(1000);
+
+    CHECK_EQUAL(10, result.size());
+    // One of the two that are drawn is the idle one in a fifth of the cases.
+    CHECK_TRUE(result.at(1) > 150 && result.at(1) < 250);
+}
