--- a/packages/entry/bench/flow_path_bench.cpp
+++ b/packages/entry/bench/flow_path_bench.cpp
@@ -1,45 +1,17 @@
 #include "oriolehold/flow/entry_balancer.h"
 #include "oriolehold/platform_adapter/datagram_codec.h"
+#include "oriolehold/testing/allocation_counter.h"
 #include "oriolehold/wire/flow_datagram.h"
 
 #include <benchmark/benchmark.h>
 
-#include <atomic>
-#include <cstdlib>
 #include <malloc.h>
-#include <new>
 
 // Cost of the entry instance's decisions per packet and per flow, over the number of open flows and
 // of upstreams.
 
 namespace {
 
-std::atomic<std::uint64_t> allocations { 0 };
-
-} // namespace
-
-// Counts every allocation of the process. Not inlined, because gcc then warns about a mismatch of
-// new and free.
-[[gnu::noinline]] void *operator new(std::size_t size)
-{
-    allocations.fetch_add(1, std::memory_order_relaxed);
-    if (void *memory = std::malloc(size == 0 ? 1 : size))
-        return memory;
-    throw std::bad_alloc();
-}
-
-[[gnu::noinline]] void operator delete(void *memory) noexcept
-{
-    std::free(memory);
-}
-
-[[gnu::noinline]] void operator delete(void *memory, std::size_t /*size*/) noexcept
-{
-    std::free(memory);
-}
-
-namespace {
-
 using namespace oriolehold;
 using namespace oriolehold::flow;
 using namespace std::chrono_literals;
--- a/packages/flow/include/oriolehold/flow/routing_view.h
+++ b/packages/flow/include/oriolehold/flow/routing_view.h
@@ -34,6 +34,10 @@
     bool operator==(const flow_route &) const = default;
 };
 
+// Whether flows of the route may be at upstreams of the service, given by its name or its digest.
+bool mayServe(const flow_route &route, std::string_view serviceName);
+bool mayServe(const flow_route &route, std::uint32_t digest);
+
 struct flow_configuration
 {
     std::uint64_t version = 0; // numbers of the operator, increasing; 0 means "none yet"
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -21,12 +21,8 @@
 // Flows older than 60 s may be discarded; idle ones earlier.
 constexpr std::uint32_t ownerLifetime = 60;       // seconds since the last packet
 constexpr std::uint32_t unconfirmedLifetime = 5;  // seconds; clients stop after 1.4 s
-constexpr base::duration searchLifetime = 4s;     // without a packet of the client
 constexpr std::uint8_t maxRefusals = 3;           // of one opening packet
 constexpr base::duration refusalAvoidance = 50ms; // an upstream's queue empties in that order
-// Probes of one packet. Small services are asked as a whole; of large ones further packets ask the
-// rest.
-constexpr std::size_t probesPerPacket = 12;
 // Agents that pass the news of a read on. Two may be lost at a time.
 constexpr std::size_t relayCount = 3;
 // A restarted instance that the store turns away asks its seeds so often.
@@ -34,19 +30,6 @@
 // A search that waits for a newer list is looked at again after this time.
 constexpr base::duration searchInterval = 20ms;
 
-// Whether flows of the route may be at an upstream of the service.
-bool mayServe(const flow_route &route, std::uint32_t digest)
-{
-    return std::ranges::any_of(route.services, [digest](const weighted_service &item) {
-        return serviceDigest(item.name) == digest;
-    });
-}
-
-std::uint32_t secondsOf(base::time_point now)
-{
-    return base::unixSeconds(now);
-}
-
 } // namespace
 
 entry_balancer::entry_balancer(entry_identity identity, const packet_codec &codec,
@@ -94,7 +77,7 @@
         known = m_owners.end();
     }
     if (known != m_owners.end()) {
-        known->second.lastSeen = secondsOf(now);
+        known->second.lastSeen = base::unixSeconds(now);
         ++m_counters.knownFlow;
         forward(known->second, key.service, packet);
         return;
@@ -139,7 +122,7 @@
     owner &item = m_owners[key];
     const bool again = item.refusals > 0;
     item.machine = chosen->machine();
-    item.lastSeen = secondsOf(now);
+    item.lastSeen = base::unixSeconds(now);
     item.serviceDigest = serviceDigest(chosen->record.service);
     item.confirmed = false;
     forward(item, key.service, packet);
@@ -221,54 +204,6 @@
     refuse(head, "refused by the upstreams", true, now);
 }
 
-void entry_balancer::probe(const flow_key &key, const flow_route &route, const packet_head &head,
-                           base::byte_view packet, std::uint32_t except, base::time_point now)
-{
-    const auto [item, added] = m_searches.try_emplace(key);
-    search &state = item->second;
-    if (added) {
-        ++m_counters.searches;
-        state.startedAt = now;
-        m_observer.decided({ .kind = decision_kind::searchStarted,
-                             .flow = key,
-                             .machine = except,
-                             .reason = except == 0 ? "unknown flow" : "the owner denies the flow",
-                             .configurationVersion = m_view.configuration().version,
-                             .viewAge = now - m_directory.readAt() });
-    }
-    addCandidates(state, route, except);
-    state.lastPacketAt = now;
-    state.lastHead = head;
-    std::size_t sent = 0;
-    for (std::size_t i = 0; i < state.candidates.size() && sent < probesPerPacket; ++i) {
-        candidate &entry = state.candidates[i];
-        const known_upstream *known = m_directory.find(entry.machine);
-        if (entry.denied || known == nullptr)
-            continue;
-        state.asked = std::max(state.asked, i + 1);
-        sendTagged(instruction::probe, serviceDigest(known->record.service), &route, entry.machine,
-                   packet);
-        ++sent;
-        ++m_counters.probes;
-    }
-}
-
-void entry_balancer::addCandidates(search &state, const flow_route &route, std::uint32_t except)
-{
-    const std::uint64_t version = m_view.configuration().version;
-    if (state.listReadAt == m_directory.readAt() && state.configurationVersion == version)
-        return;
-    state.listReadAt = m_directory.readAt();
-    state.configurationVersion = version;
-    boost::unordered_flat_set<std::uint32_t> known;
-    for (const candidate &item : state.candidates)
-        known.insert(item.machine);
-    for (const std::uint32_t machine : m_directory.owners(route, m_identity.zone)) {
-        if (!known.contains(machine))
-            state.candidates.push_back({ machine, machine == except });
-    }
-}
-
 void entry_balancer::receiveMessage(std::uint32_t machine, const peer_message &message,
                                     base::time_point now)
 {
@@ -285,77 +220,6 @@
         m_view.receive(machine, message, now);
 }
 
-void entry_balancer::claim(const flow_key &key, std::uint32_t machine, base::time_point now)
-{
-    const known_upstream *known = m_directory.find(machine);
-    if (known == nullptr)
-        return; // its list is not known here yet; a later packet searches
-    owner &item = m_owners[key];
-    item.machine = machine;
-    item.lastSeen = secondsOf(now);
-    item.serviceDigest = serviceDigest(known->record.service);
-    item.confirmed = true;
-    const auto found = m_searches.find(key);
-    if (found == m_searches.end())
-        return;
-    ++m_counters.found;
-    m_observer.decided(
-            { .kind = decision_kind::ownerFound,
-              .flow = key,
-              .machine = machine,
-              .upstream = known->record.id,
-              .configurationVersion = m_view.configuration().version,
-              .viewAge = now - m_directory.readAt(),
-              .elapsed = now - found->second.startedAt,
-              .candidates = static_cast<std::uint32_t>(found->second.candidates.size()) });
-    m_searches.erase(found);
-}
-
-void entry_balancer::deny(const flow_denial &denial, std::uint32_t machine)
-{
-    const auto found = m_searches.find(denial.flow);
-    if (found == m_searches.end())
-        return;
-    const flow_route *route = routeOf(denial.flow.service);
-    // An upstream that was asked for a former service of its address may hold the flow; a later
-    // packet asks again, when the list names its service.
-    if (denial.misdirected && route != nullptr && mayServe(*route, denial.serviceDigest))
-        return;
-    const auto item = std::ranges::find(found->second.candidates, machine, &candidate::machine);
-    if (item != found->second.candidates.end())
-        item->denied = true;
-}
-
-void entry_balancer::concludeSearches(base::time_point now)
-{
-    m_searchNeedsRead = false;
-    boost::unordered::erase_if(m_searches, [&](const auto &item) {
-        const flow_key &key = item.first;
-        const search &state = item.second;
-        if (now - state.lastPacketAt > searchLifetime)
-            return true;
-        const flow_route *route = routeOf(key.service);
-        if (route == nullptr)
-            return true;
-        const auto owners = m_directory.owners(*route, m_identity.zone);
-        const bool allDeny = std::ranges::all_of(owners, [&](std::uint32_t machine) {
-            if (m_directory.isGone(machine, now))
-                return true;
-            const auto found = std::ranges::find(state.candidates, machine, &candidate::machine);
-            return found != state.candidates.end() && found->denied;
-        });
-        if (!allDeny)
-            return false;
-        // The flow is gone when all who may hold it deny it, by a list that is younger than the
-        // search: an upstream that only others know of yet would be in it.
-        const bool gone = m_directory.readAt() > state.startedAt;
-        m_searchNeedsRead = m_searchNeedsRead || !gone;
-        if (gone)
-            resetClient(state.lastHead, "no upstream holds the flow", now);
-        return gone;
-    });
-}
-
 void entry_balancer::refuse(const packet_head &head, std::string_view reason, bool certain,
                             base::time_point now)
 {
@@ -445,7 +309,7 @@
 
 void entry_balancer::expireOwners(base::time_point now)
 {
-    const std::uint32_t seconds = secondsOf(now);
+    const std::uint32_t seconds = base::unixSeconds(now);
     boost::unordered::erase_if(m_owners, [&](const auto &item) {
         const owner &value = item.second;
         return seconds - value.lastSeen > (value.confirmed ? ownerLifetime : unconfirmedLifetime);
--- a/packages/flow/src/routing_view.cpp
+++ b/packages/flow/src/routing_view.cpp
@@ -1,5 +1,9 @@
 #include "oriolehold/flow/routing_view.h"
 
+#include "oriolehold/flow/packet.h"
+
+#include <algorithm>
+
 namespace oriolehold::flow {
 
 std::string_view toString(read_failure failure)
@@ -17,4 +21,17 @@
     return "unknown";
 }
 
+bool mayServe(const flow_route &route, std::string_view serviceName)
+{
+    return std::ranges::find(route.services, serviceName, &weighted_service::name)
+            != route.services.end();
+}
+
+bool mayServe(const flow_route &route, std::uint32_t digest)
+{
+    return std::ranges::any_of(route.services, [digest](const weighted_service &item) {
+        return serviceDigest(item.name) == digest;
+    });
+}
+
 } // namespace oriolehold::flow
--- a/packages/flow/src/upstream_directory.cpp
+++ b/packages/flow/src/upstream_directory.cpp
@@ -4,16 +4,6 @@
 
 namespace oriolehold::flow {
 
-namespace {
-
-bool mayServe(const flow_route &route, std::string_view service)
-{
-    return std::ranges::find(route.services, service, &weighted_service::name)
-            != route.services.end();
-}
-
-} // namespace
-
 bool upstream_directory::update(const upstream_list &list, base::time_point readAt,
                                 base::time_point now,
                                 const std::function<void(const directory_change &)> &onChange)
--- a/packages/wire/src/internal/serialization.h
+++ b/packages/wire/src/internal/serialization.h
@@ -66,29 +66,8 @@
     return { container };
 }
 
-// Serialization of a bool as one byte. Reading another value than 0 and 1 into a bool is undefined.
-struct flag
-{
-    bool &value;
-
-    template<typename Archive>
-    void save(Archive &archive) const
-    {
-        archive(static_cast<std::uint8_t>(value));
-    }
-
-    template<typename Archive>
-    void load(Archive &archive)
-    {
-        std::uint8_t byte = 0;
-        archive(byte);
-        if (byte > 1)
-            throw cereal::Exception("a flag is neither 0 nor 1");
-        value = byte == 1;
-    }
-};
-
-// Serialization of an enumeration with consecutive values from 0 to Last.
+// Serialization of a bool or of an enumeration with consecutive values from 0 to Last as one byte.
+// Reading another value than 0 and 1 into a bool is undefined.
 template<auto Last>
 struct enumeration
 {
@@ -106,11 +85,13 @@
         std::uint8_t byte = 0;
         archive(byte);
         if (byte > static_cast<std::uint8_t>(Last))
-            throw cereal::Exception("unknown value of an enumeration");
+            throw cereal::Exception("unknown value of a flag or an enumeration");
         value = static_cast<decltype(Last)>(byte);
     }
 };
 
+using flag = enumeration<true>;
+
 // Serialization of a duration as its count.
 template<typename Duration>
 struct duration_count
--- a/scripts/flow_mutants.sh
+++ b/scripts/flow_mutants.sh
@@ -10,12 +10,12 @@
 
 # Name, file below packages/flow, sed expression.
 variants=(
-    "resets-without-denials|src/entry_balancer.cpp|s/if (!allDeny)/if (false)/"
-    "resets-by-an-older-list|src/entry_balancer.cpp|s/const bool gone = .*/const bool gone = true;/"
+    "resets-without-denials|src/owner_search.cpp|s/if (!allDeny)/if (false)/"
+    "resets-by-an-older-list|src/owner_search.cpp|s/const bool gone = .*/const bool gone = true;/"
     "older-configuration-accepted|src/view_exchange.cpp|s/if (configuration.version <= m_configuration.version)/if (configuration.version == m_configuration.version)/"
     "service-not-checked|src/flow_agent.cpp|s/if (head->tag.value != m_serviceDigest)/if (false)/"
     "draining-is-eligible|src/upstream_directory.cpp|s/ && known.record.phase == upstream_phase::ready//"
-    "search-asks-one-upstream|src/entry_balancer.cpp|s/probesPerPacket = 12/probesPerPacket = 1/"
+    "search-asks-one-upstream|src/owner_search.cpp|s/probesPerPacket = 12/probesPerPacket = 1/"
     "silence-is-claimed|src/flow_agent.cpp|s/if (m_upstreamHeardAt > probe.deliveredAt + probeDelay)/if (true)/"
     "probes-are-held|src/flow_agent.cpp|s/begins \&\& state.answered \&\& m_gate/begins \&\& m_gate/"
 )
