Log what a search has probed, and claims that replace another one

Operators could not tell three causes of packets at wrong upstreams apart: a search that has not reached the owner yet, a claim by the wrong agent, and a reset by an incomplete list. A claim for a flow that another agent claimed before is an event of its own (7018), as is a search without a result (7019); both are counted. flow-opened names the evidence of the claim. No decision changes.

--- a/packages/daemon/src/decision_log.cpp
+++ b/packages/daemon/src/decision_log.cpp
@@ -20,6 +20,10 @@
         return log_event::flowSearchStarted;
     case decision_kind::ownerFound:
         return log_event::flowOwnerFound;
+    case decision_kind::ownerChanged:
+        return log_event::flowOwnerChanged;
+    case decision_kind::searchEnded:
+        return log_event::flowSearchEnded;
     case decision_kind::reset:
         return log_event::flowReset;
     case decision_kind::dropped:
@@ -49,6 +53,15 @@
     return log_event::internalError;
 }
 
+// Empty for 0.
+std::string addressText(std::uint32_t machine)
+{
+    if (machine == 0)
+        return {};
+    const std::string text = base::toString({ machine, 0 });
+    return text.substr(0, text.find(':'));
+}
+
 std::int64_t milliseconds(base::duration value)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
@@ -80,11 +93,12 @@
                               .className = "search",
                               .total = decision.elapsed });
     const std::string key = toString(decision.flow);
-    const std::string machine =
-            decision.machine == 0 ? std::string() : base::toString({ decision.machine, 0 });
+    const std::string machine = addressText(decision.machine);
+    const std::string formerMachine = addressText(decision.formerMachine);
     runtime::log(eventOf(decision.kind),
                  { { "flow", key },
-                   { "machine", std::string_view(machine).substr(0, machine.find(':')) },
+                   { "machine", machine },
+                   { "former", formerMachine },
                    { "upstream", decision.upstream },
                    { "reason", decision.reason },
                    { "version", decision.configurationVersion },
@@ -92,7 +106,10 @@
                    { "report_age_ms", milliseconds(decision.reportAge) },
                    { "elapsed_us", decision.elapsed.count() },
                    { "running", decision.running },
-                   { "candidates", decision.candidates } });
+                   { "candidates", decision.candidates },
+                   { "probes", decision.probes },
+                   { "unprobed", decision.unprobed },
+                   { "unanswered", decision.unanswered } });
 }
 
 void decision_log::directoryChanged(const flow::directory_change &change)
--- a/packages/entry/src/flow_entry_daemon.cpp
+++ b/packages/entry/src/flow_entry_daemon.cpp
@@ -225,6 +225,8 @@
     counter("flow_searches_total", m_publishedCounters.searches);
     counter("flow_probes_total", m_publishedCounters.probes);
     counter("flow_found_total", m_publishedCounters.found);
+    counter("flow_searches_abandoned_total", m_publishedCounters.abandoned);
+    counter("flow_owner_changes_total", m_publishedCounters.changed);
     counter("flow_resets_total", m_publishedCounters.resets);
     counter("packets_dropped_total", m_publishedCounters.dropped);
     return text + m_log.histograms();
--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -44,6 +44,8 @@
     std::uint64_t searches = 0;  // started
     std::uint64_t probes = 0;    // sent
     std::uint64_t found = 0;     // searches that a claim ended
+    std::uint64_t abandoned = 0; // searches that ended without a claim or a reset
+    std::uint64_t changed = 0;   // claims for a flow that another agent had claimed before
     std::uint64_t resets = 0;    // sent to clients
     std::uint64_t dropped = 0;   // packets discarded
 };
@@ -100,6 +102,7 @@
     struct candidate
     {
         std::uint32_t machine = 0;
+        bool probed = false;
         bool denied = false;
     };
     struct search
@@ -111,6 +114,7 @@
         base::time_point listReadAt {};
         std::uint64_t configurationVersion = 0;
         packet_head lastHead;
+        std::uint32_t probes = 0; // sent
     };
 
     void routesChanged(const flow_configuration &configuration) override;
@@ -141,6 +145,9 @@
                      base::time_point now);
     void resetClient(const packet_head &head, std::string_view reason, base::time_point now);
     void concludeSearches(base::time_point now);
+    // Describes the state of a search in a decision.
+    flow_decision describe(decision_kind kind, const flow_key &key, const search &state,
+                           base::time_point now) const;
     void expireOwners(base::time_point now);
     void sendHellos(base::time_point now);
     const std::string &chooseService(const flow_route &route, const flow_key &key) const;
--- a/packages/flow/include/oriolehold/flow/flow_agent.h
+++ b/packages/flow/include/oriolehold/flow/flow_agent.h
@@ -117,7 +117,7 @@
     void returnToEntry(const base::endpoint &entry, packet_tag::instruction kind,
                        base::byte_view packet);
     // Records the flow as open and sends a claim to all entry instances.
-    void markOpen(const flow_key &key, flow_state &state);
+    void markOpen(const flow_key &key, flow_state &state, std::string_view reason);
     // Removes the flow with its running or held request.
     void removeFlow(const flow_key &key, base::time_point now);
     void broadcastClaim(const flow_claim &claim);
--- a/packages/flow/include/oriolehold/flow/flow_observer.h
+++ b/packages/flow/include/oriolehold/flow/flow_observer.h
@@ -14,6 +14,8 @@
     replaced,       // after a refusal, a new flow was given to another upstream
     searchStarted,  // the owner of an open flow is unknown, or denied it
     ownerFound,     // an agent holds a flow that was searched for
+    ownerChanged,   // an agent claimed a flow that another agent had claimed before
+    searchEnded,    // a search ended without an owner and without a reset
     reset,          // a reset was sent to a client whose flow does not exist
     dropped,        // a packet was discarded
     flowOpened,     // the agent's upstream opened a flow
@@ -26,15 +28,19 @@
 {
     decision_kind kind = decision_kind::placed;
     flow_key flow {};
-    std::uint32_t machine = 0;    // IPv4 address of the agent that was chosen or answered; 0: none
-    std::string_view upstream {}; // its id
+    std::uint32_t machine = 0; // IPv4 address of the agent that was chosen or answered; 0: none
+    std::uint32_t formerMachine = 0; // IPv4 address of the agent that had claimed the flow before
+    std::string_view upstream {};    // its id
     std::string_view reason {};
     std::uint64_t configurationVersion = 0;
     base::duration viewAge {};    // since the list of upstreams was read
     base::duration reportAge {};  // since the agent's last report
     base::duration elapsed {};    // since the start of the search
     std::uint32_t running = 0;    // requests at the upstream
-    std::uint32_t candidates = 0; // upstreams considered or probed, or entry instances notified
+    std::uint32_t candidates = 0; // upstreams considered or searched, or entry instances notified
+    std::uint32_t probes = 0;     // sent in the search
+    std::uint32_t unprobed = 0;   // candidates of the search that got no probe
+    std::uint32_t unanswered = 0; // candidates of the search that got a probe and did not deny
 };
 
 // Times of one request, counted from its first packet at the agent.
--- a/packages/flow/src/flow_agent.cpp
+++ b/packages/flow/src/flow_agent.cpp
@@ -200,7 +200,7 @@
     state.lastSeen = now;
     state.answered = true;
     if (!head->opens && !head->resets && !state.open)
-        markOpen(key, state);
+        markOpen(key, state, "the upstream sent a packet");
     if ((head->payloadSize > 0 || head->resets || head->finishes)
         && state.requestAt != base::time_point {}) {
         m_load.end(now - state.requestAt, now);
@@ -209,13 +209,14 @@
     }
 }
 
-void flow_agent::markOpen(const flow_key &key, flow_state &state)
+void flow_agent::markOpen(const flow_key &key, flow_state &state, std::string_view reason)
 {
     state.open = true;
     ++m_openFlows;
     ++m_counters.opened;
     m_observer.decisionMade({ .kind = decision_kind::flowOpened,
                               .flow = key,
+                              .reason = reason,
                               .running = m_load.running(),
                               .candidates = static_cast<std::uint32_t>(m_entries.size()) });
     broadcastClaim(flow_claim { { key } });
@@ -338,7 +339,7 @@
             continue;
         // An upstream that crashed returns nothing and holds nothing.
         if (m_lastUpstreamPacketAt > probe.deliveredAt + probeProcessingTime)
-            markOpen(probe.key, found->second);
+            markOpen(probe.key, found->second, "the upstream did not return a probe");
         else
             ++m_unanswered;
     }
--- a/packages/flow/src/owner_search.cpp
+++ b/packages/flow/src/owner_search.cpp
@@ -40,12 +40,14 @@
     state.lastHead = head;
     std::size_t sent = 0;
     for (std::size_t i = 0; i < state.candidates.size() && sent < probesPerPacket; ++i) {
-        const candidate &entry = state.candidates[i];
+        candidate &entry = state.candidates[i];
         const known_upstream *known = m_directory.find(entry.machine);
         if (entry.denied || known == nullptr)
             continue;
         sendTagged(instruction::probe, serviceDigest(known->record.service), &route, entry.machine,
                    packet);
+        entry.probed = true;
+        ++state.probes;
         ++sent;
         ++m_counters.probes;
     }
@@ -63,16 +65,42 @@
         known.insert(item.machine);
     for (const std::uint32_t machine : m_directory.possibleOwners(route, m_identity.zone)) {
         if (!known.contains(machine))
-            state.candidates.push_back({ machine, machine == excluded });
+            state.candidates.push_back({ machine, false, machine == excluded });
     }
 }
 
+flow_decision entry_balancer::describe(decision_kind kind, const flow_key &key, const search &state,
+                                       base::time_point now) const
+{
+    const auto unprobed = std::ranges::count_if(
+            state.candidates, [](const candidate &item) { return !item.probed && !item.denied; });
+    const auto unanswered = std::ranges::count_if(
+            state.candidates, [](const candidate &item) { return item.probed && !item.denied; });
+    return { .kind = kind,
+             .flow = key,
+             .configurationVersion = m_view.configuration().version,
+             .viewAge = now - m_directory.readAt(),
+             .elapsed = now - state.startedAt,
+             .candidates = static_cast<std::uint32_t>(state.candidates.size()),
+             .probes = state.probes,
+             .unprobed = static_cast<std::uint32_t>(unprobed),
+             .unanswered = static_cast<std::uint32_t>(unanswered) };
+}
+
 void entry_balancer::receiveClaim(const flow_key &key, std::uint32_t machine, base::time_point now)
 {
     const known_upstream *known = m_directory.find(machine);
     if (known == nullptr)
         return; // the list with this upstream has not arrived yet; a later packet starts a search
     owner &item = m_owners[key];
+    if (item.confirmed && item.machine != machine) {
+        ++m_counters.changed;
+        m_observer.decisionMade({ .kind = decision_kind::ownerChanged,
+                                  .flow = key,
+                                  .machine = machine,
+                                  .formerMachine = item.machine,
+                                  .upstream = known->record.id });
+    }
     item.machine = machine;
     item.lastSeen = base::unixSeconds(now);
     item.serviceDigest = serviceDigest(known->record.service);
@@ -81,15 +109,10 @@
     if (found == m_searches.end())
         return;
     ++m_counters.found;
-    m_observer.decisionMade(
-            { .kind = decision_kind::ownerFound,
-              .flow = key,
-              .machine = machine,
-              .upstream = known->record.id,
-              .configurationVersion = m_view.configuration().version,
-              .viewAge = now - m_directory.readAt(),
-              .elapsed = now - found->second.startedAt,
-              .candidates = static_cast<std::uint32_t>(found->second.candidates.size()) });
+    flow_decision decision = describe(decision_kind::ownerFound, key, found->second, now);
+    decision.machine = machine;
+    decision.upstream = known->record.id;
+    m_observer.decisionMade(decision);
     m_searches.erase(found);
 }
 
@@ -114,11 +137,12 @@
     boost::unordered::erase_if(m_searches, [&](const auto &item) {
         const flow_key &key = item.first;
         const search &state = item.second;
-        if (now - state.lastPacketAt > searchTimeout)
-            return true;
         const flow_route *route = routeOf(key.service);
-        if (route == nullptr)
+        if (route == nullptr || now - state.lastPacketAt > searchTimeout) {
+            ++m_counters.abandoned;
+            m_observer.decisionMade(describe(decision_kind::searchEnded, key, state, now));
             return true;
+        }
         const auto owners = m_directory.possibleOwners(*route, m_identity.zone);
         const bool allDeny = std::ranges::all_of(owners, [&](std::uint32_t machine) {
             if (m_directory.holdsNoFlows(machine, now))
--- a/packages/runtime/include/oriolehold/runtime/log_events.h
+++ b/packages/runtime/include/oriolehold/runtime/log_events.h
@@ -87,6 +87,8 @@
     upstreamEntryRejected = 7015,
     storeUnreachable = 7016,
     storeReachable = 7017,
+    flowOwnerChanged = 7018,
+    flowSearchEnded = 7019,
 };
 
 enum class log_level : std::uint8_t { debug, info, warning, error };
--- a/packages/runtime/src/log_events.cpp
+++ b/packages/runtime/src/log_events.cpp
@@ -137,6 +137,10 @@
           "The store does not respond; the view is no longer updated." },
         { log_event::storeReachable, "store-reachable", log_level::info, 0ms,
           "The store responds again." },
+        { log_event::flowOwnerChanged, "flow-owner-changed", log_level::warning, decisionInterval,
+          "An agent claimed a flow that another agent had claimed before." },
+        { log_event::flowSearchEnded, "flow-search-ended", log_level::info, decisionInterval,
+          "A search ended without an owner and without a reset." },
 });
 
 // Most lines that are queued for a slow reader of the output.
