Search all upstreams of a large service without waiting for the client

Cause: an entry instance that does not know a flow probed 12 upstreams for each packet of the client. The next 12 had to wait for the client's next packet, which a client that waits for an answer sends after 200, 600, 1400 and 3000 ms. The owner of rank 37 to 48 was reached after 1.4 s at best, that of rank 49 after 3 s, and candidates that stay silent kept their place before it.

The search now advances by itself. At most 12 probes are unanswered at a time; a denial, or 20 ms without one, lets the next one be sent, candidates that were silent before come last, and upstreams that are listed during the search are probed at once. Each packet of the client begins a new round. The owner gets the client's last packet when it claims the flow.

Failed before the change: DenialsLetASearchOfALargeServiceContinueWithoutTheClient (12 of 49 probed), SilentUpstreamsDoNotStopASearch (12 of 49), PacketsInQuickSuccessionReachAllUpstreamsOfALargeService (12 of 49), UpstreamThatIsListedDuringASearchIsProbedWithoutTheClient, OwnerOfASearchedFlowGetsTheLastPacket.

--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -102,13 +102,17 @@
     struct candidate
     {
         std::uint32_t machine = 0;
-        bool probed = false;
+        base::time_point firstProbeAt {}; // epoch: not probed
+        base::time_point lastProbeAt {};
         bool denied = false;
     };
+    // Every packet of the client begins a round of probes to all candidates that have not denied.
     struct search
     {
         base::time_point startedAt {};
-        base::time_point lastPacketAt {};
+        base::time_point lastPacketAt {}; // begin of the current round
+        base::byte_vector lastPacket;
+        bool roundComplete = false;
         std::vector<candidate> candidates;
         // Read time of the list and version of the routes that the candidates were taken from.
         base::time_point listReadAt {};
@@ -133,18 +137,24 @@
     // Without a route the tag has the default priority and no times.
     void sendTagged(packet_tag::instruction kind, std::uint32_t digest, const flow_route *route,
                     std::uint32_t machine, base::byte_view packet);
-    void sendProbes(const flow_key &key, const flow_route &route, const packet_head &head,
-                    base::byte_view packet, std::uint32_t excluded, base::time_point now);
+    // Starts a search, or a new round of it, with a packet of the client.
+    void searchOwner(const flow_key &key, const flow_route &route, const packet_head &head,
+                     base::byte_view packet, std::uint32_t excluded, base::time_point now);
+    // Sends the probes of the current round that are due.
+    void sendProbes(const flow_route &route, search &state, base::time_point now);
     // Adds the upstreams of the current view that are no candidates yet; excluded counts as denied.
     void addCandidates(search &state, const flow_route &route, std::uint32_t excluded);
-    void receiveDenial(const flow_denial &denial, std::uint32_t machine);
+    void receiveDenial(const flow_denial &denial, std::uint32_t machine, base::time_point now);
     void receiveClaim(const flow_key &key, std::uint32_t machine, base::time_point now);
     // Resets the client if certain is set and the packet is the first copy of an opening packet,
     // else drops the packet.
     void resetOrDrop(const packet_head &head, std::string_view reason, bool certain,
                      base::time_point now);
     void resetClient(const packet_head &head, std::string_view reason, base::time_point now);
-    void concludeSearches(base::time_point now);
+    // Continues all searches and ends those that have a result or have expired.
+    void updateSearches(base::time_point now);
+    // Whether no upstream holds the flow, by the answers so far and by the current list.
+    bool allDeny(const flow_route &route, const search &state, base::time_point now) const;
     // Describes the state of a search in a decision.
     flow_decision describe(decision_kind kind, const flow_key &key, const search &state,
                            base::time_point now) const;
@@ -167,10 +177,12 @@
     base::time_point m_nextHello {};
     base::time_point m_nextSeedRequest {};
     base::time_point m_nextExpiry {};
+    base::time_point m_nextSearchUpdate {};
     base::time_point m_firstHelloAt {};
     base::time_point m_lastAgentMessageAt {}; // from any agent
     base::time_point m_lastListAt {};         // arrival of the last list, read by any instance
     bool m_searchNeedsRead = false;           // a search waits for a newer list
+    bool m_searchInProgress = false;          // a search has probes to send
     base::byte_vector m_scratch;
     entry_counters m_counters;
 };
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -29,8 +29,6 @@
 // Interval of requests to the seeds while an instance has no view, such as after a restart when the
 // store rejects its reads.
 constexpr base::duration seedInterval = 200ms;
-// Interval of checks of a search that waits for a newer list.
-constexpr base::duration searchInterval = 20ms;
 
 } // namespace
 
@@ -92,7 +90,7 @@
     if (head.isOpening())
         placeFlow(head, packet, *route, now);
     else
-        sendProbes(key, *route, head, packet, 0, now);
+        searchOwner(key, *route, head, packet, 0, now);
 }
 
 const std::string &entry_balancer::chooseService(const flow_route &route, const flow_key &key) const
@@ -189,7 +187,7 @@
         return;
     }
     m_owners.erase(known);
-    sendProbes(key, *route, head, packet, sender, now);
+    searchOwner(key, *route, head, packet, sender, now);
 }
 
 void entry_balancer::receiveRefused(const packet_head &head, base::byte_view packet,
@@ -217,7 +215,7 @@
         std::ranges::for_each(claimed->flows,
                               [&](const flow_key &key) { receiveClaim(key, machine, now); });
     else if (const auto *denied = std::get_if<flow_denial>(&message))
-        receiveDenial(*denied, machine);
+        receiveDenial(*denied, machine, now);
     else
         m_view.receive(machine, message, now);
 }
@@ -260,6 +258,7 @@
                                       base::time_point now)
 {
     m_lastListAt = now;
+    m_nextSearchUpdate = now;
     const bool first = m_directory.readAt() == base::time_point {};
     m_directory.update(list, readAt, now, [this](const directory_change &change) {
         m_observer.directoryChanged(change);
@@ -326,8 +325,8 @@
         sendHellos(now);
     if (now >= m_nextExpiry)
         expireOwners(now);
-    if (!m_searches.empty() || m_searchNeedsRead)
-        concludeSearches(now);
+    if ((!m_searches.empty() || m_searchNeedsRead) && now >= m_nextSearchUpdate)
+        updateSearches(now);
     if (!m_view.complete() && now >= m_nextSeedRequest) {
         m_nextSeedRequest = now + seedInterval;
         for (const std::uint32_t machine : m_identity.seeds)
@@ -335,8 +334,8 @@
     }
     base::time_point next = std::min(m_nextHello, m_nextExpiry);
     next = std::min(next, m_schedule.next(m_view.readAt(), m_view.complete()));
-    if (m_searchNeedsRead)
-        next = std::min(next, now + searchInterval);
+    if (m_searchNeedsRead || m_searchInProgress)
+        next = std::min(next, m_nextSearchUpdate);
     return std::max(next - now, base::duration::zero());
 }
 
--- a/packages/flow/src/owner_search.cpp
+++ b/packages/flow/src/owner_search.cpp
@@ -1,6 +1,7 @@
 #include "oriolehold/flow/entry_balancer.h"
 
 #include <algorithm>
+#include <span>
 
 // The part of entry_balancer that searches for the upstream of a flow that is not in its table.
 
@@ -12,15 +13,19 @@
 using instruction = packet_tag::instruction;
 
 constexpr base::duration searchTimeout = 4s; // since the client's last packet
-// Probes sent for one packet. They reach all upstreams of a small service. In a large service,
-// later packets of the flow reach the others.
-constexpr std::size_t probesPerPacket = 12;
+// Probes of a search that wait for an answer. Each answer, or the timeout of a probe, lets the
+// search send another one, so that it reaches all upstreams within milliseconds.
+constexpr std::ptrdiff_t maxOutstandingProbes = 12;
+// An agent answers within a few milliseconds. Upstreams that take longer may still answer, but the
+// search does not wait for them.
+constexpr base::duration probeTimeout = 20ms;
+constexpr base::duration searchInterval = probeTimeout; // of updates of the searches
 
 } // namespace
 
-void entry_balancer::sendProbes(const flow_key &key, const flow_route &route,
-                                const packet_head &head, base::byte_view packet,
-                                std::uint32_t excluded, base::time_point now)
+void entry_balancer::searchOwner(const flow_key &key, const flow_route &route,
+                                 const packet_head &head, base::byte_view packet,
+                                 std::uint32_t excluded, base::time_point now)
 {
     const auto [item, added] = m_searches.try_emplace(key);
     search &state = item->second;
@@ -38,19 +43,49 @@
     addCandidates(state, route, excluded);
     state.lastPacketAt = now;
     state.lastHead = head;
-    std::size_t sent = 0;
-    for (std::size_t i = 0; i < state.candidates.size() && sent < probesPerPacket; ++i) {
-        candidate &entry = state.candidates[i];
-        const known_upstream *known = m_directory.find(entry.machine);
-        if (entry.denied || known == nullptr)
-            continue;
-        sendTagged(instruction::probe, serviceDigest(known->record.service), &route, entry.machine,
-                   packet);
-        entry.probed = true;
+    state.lastPacket.assign(packet.begin(), packet.end());
+    state.roundComplete = false;
+    sendProbes(route, state, now);
+}
+
+void entry_balancer::sendProbes(const flow_route &route, search &state, base::time_point now)
+{
+    const auto isOutstanding = [&](const candidate &item) {
+        return !item.denied && item.lastProbeAt >= state.lastPacketAt
+                && now - item.lastProbeAt < probeTimeout;
+    };
+    const auto isDue = [&](const candidate &item) {
+        return !item.denied && item.lastProbeAt < state.lastPacketAt
+                && m_directory.find(item.machine) != nullptr;
+    };
+    // Upstreams that did not answer an earlier round come last, so that they do not delay the
+    // probes of the others.
+    const auto rank = [&](const candidate *item) {
+        const bool silent = item->firstProbeAt != base::time_point {}
+                && now - item->firstProbeAt >= probeTimeout;
+        return silent ? item->lastProbeAt : base::time_point {};
+    };
+    std::vector<candidate *> due;
+    for (candidate &item : state.candidates) {
+        if (isDue(item))
+            due.push_back(&item);
+    }
+    std::ranges::stable_sort(due, {}, rank);
+    const auto outstanding = std::ranges::count_if(state.candidates, isOutstanding);
+    const auto allowed = static_cast<std::size_t>(
+            std::max<std::ptrdiff_t>(maxOutstandingProbes - outstanding, 0));
+    state.roundComplete = due.size() <= allowed;
+    for (candidate *item : std::span(due).first(std::min(allowed, due.size()))) {
+        const known_upstream *known = m_directory.find(item->machine);
+        sendTagged(instruction::probe, serviceDigest(known->record.service), &route, item->machine,
+                   state.lastPacket);
+        item->lastProbeAt = now;
+        if (item->firstProbeAt == base::time_point {})
+            item->firstProbeAt = now;
         ++state.probes;
-        ++sent;
         ++m_counters.probes;
     }
+    m_searchInProgress = m_searchInProgress || !state.roundComplete;
 }
 
 void entry_balancer::addCandidates(search &state, const flow_route &route, std::uint32_t excluded)
@@ -64,18 +99,24 @@
     for (const candidate &item : state.candidates)
         known.insert(item.machine);
     for (const std::uint32_t machine : m_directory.possibleOwners(route, m_identity.zone)) {
-        if (!known.contains(machine))
-            state.candidates.push_back({ machine, false, machine == excluded });
+        if (known.contains(machine))
+            continue;
+        state.candidates.push_back({ .machine = machine, .denied = machine == excluded });
+        state.roundComplete = false;
     }
 }
 
 flow_decision entry_balancer::describe(decision_kind kind, const flow_key &key, const search &state,
                                        base::time_point now) const
 {
-    const auto unprobed = std::ranges::count_if(
-            state.candidates, [](const candidate &item) { return !item.probed && !item.denied; });
-    const auto unanswered = std::ranges::count_if(
-            state.candidates, [](const candidate &item) { return item.probed && !item.denied; });
+    const auto isProbed = [](const candidate &item) {
+        return item.firstProbeAt != base::time_point {};
+    };
+    const auto waiting = std::ranges::count_if(state.candidates,
+                                               [](const candidate &item) { return !item.denied; });
+    const auto unanswered = std::ranges::count_if(state.candidates, [&](const candidate &item) {
+        return !item.denied && isProbed(item);
+    });
     return { .kind = kind,
              .flow = key,
              .configurationVersion = m_view.configuration().version,
@@ -83,7 +124,7 @@
              .elapsed = now - state.startedAt,
              .candidates = static_cast<std::uint32_t>(state.candidates.size()),
              .probes = state.probes,
-             .unprobed = static_cast<std::uint32_t>(unprobed),
+             .unprobed = static_cast<std::uint32_t>(waiting - unanswered),
              .unanswered = static_cast<std::uint32_t>(unanswered) };
 }
 
@@ -108,49 +149,70 @@
     const auto found = m_searches.find(key);
     if (found == m_searches.end())
         return;
+    const search &state = found->second;
+    const auto probed = std::ranges::find(state.candidates, machine, &candidate::machine);
+    if (probed == state.candidates.end() || probed->lastProbeAt < state.lastPacketAt)
+        forward(item, key.service, state.lastPacket);
     ++m_counters.found;
-    flow_decision decision = describe(decision_kind::ownerFound, key, found->second, now);
+    flow_decision decision = describe(decision_kind::ownerFound, key, state, now);
     decision.machine = machine;
     decision.upstream = known->record.id;
     m_observer.decisionMade(decision);
     m_searches.erase(found);
 }
 
-void entry_balancer::receiveDenial(const flow_denial &denial, std::uint32_t machine)
+void entry_balancer::receiveDenial(const flow_denial &denial, std::uint32_t machine,
+                                   base::time_point now)
 {
     const auto found = m_searches.find(denial.flow);
-    if (found == m_searches.end())
-        return;
     const flow_route *route = routeOf(denial.flow.service);
+    if (found == m_searches.end() || route == nullptr)
+        return;
     // An upstream that was probed for a former service of its address may hold the flow. A later
     // packet probes it again when the list names its present service.
-    if (denial.misdirected && route != nullptr && mayServe(*route, denial.serviceDigest))
+    if (denial.misdirected && mayServe(*route, denial.serviceDigest))
         return;
-    const auto item = std::ranges::find(found->second.candidates, machine, &candidate::machine);
-    if (item != found->second.candidates.end())
-        item->denied = true;
+    search &state = found->second;
+    const auto item = std::ranges::find(state.candidates, machine, &candidate::machine);
+    if (item == state.candidates.end())
+        return;
+    item->denied = true;
+    if (!state.roundComplete)
+        sendProbes(*route, state, now);
+    if (std::ranges::all_of(state.candidates, &candidate::denied))
+        m_nextSearchUpdate = now;
+}
+
+bool entry_balancer::allDeny(const flow_route &route, const search &state,
+                             base::time_point now) const
+{
+    const auto owners = m_directory.possibleOwners(route, m_identity.zone);
+    return std::ranges::all_of(owners, [&](std::uint32_t machine) {
+        if (m_directory.holdsNoFlows(machine, now))
+            return true;
+        const auto found = std::ranges::find(state.candidates, machine, &candidate::machine);
+        return found != state.candidates.end() && found->denied;
+    });
 }
 
-void entry_balancer::concludeSearches(base::time_point now)
+void entry_balancer::updateSearches(base::time_point now)
 {
+    m_nextSearchUpdate = now + searchInterval;
     m_searchNeedsRead = false;
-    boost::unordered::erase_if(m_searches, [&](const auto &item) {
+    m_searchInProgress = false;
+    boost::unordered::erase_if(m_searches, [&](auto &item) {
         const flow_key &key = item.first;
-        const search &state = item.second;
+        search &state = item.second;
         const flow_route *route = routeOf(key.service);
         if (route == nullptr || now - state.lastPacketAt > searchTimeout) {
             ++m_counters.abandoned;
             m_observer.decisionMade(describe(decision_kind::searchEnded, key, state, now));
             return true;
         }
-        const auto owners = m_directory.possibleOwners(*route, m_identity.zone);
-        const bool allDeny = std::ranges::all_of(owners, [&](std::uint32_t machine) {
-            if (m_directory.holdsNoFlows(machine, now))
-                return true;
-            const auto found = std::ranges::find(state.candidates, machine, &candidate::machine);
-            return found != state.candidates.end() && found->denied;
-        });
-        if (!allDeny)
+        addCandidates(state, *route, 0);
+        if (!state.roundComplete)
+            sendProbes(*route, state, now);
+        if (!allDeny(*route, state, now))
             return false;
         // If all possible owners deny the flow, by a list that was read after the search began, the
         // flow does not exist. An older list may lack upstreams that are in the views of others.
--- a/packages/flow/tests/entry_balancer_test.cpp
+++ b/packages/flow/tests/entry_balancer_test.cpp
@@ -4,6 +4,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <set>
+
 using namespace oriolehold;
 using namespace oriolehold::flow;
 using namespace std::chrono_literals;
@@ -14,6 +16,7 @@
 constexpr base::endpoint client { 0x64400007, 40001 };
 constexpr base::endpoint ordersAddress { 0xc6120001, 443 };
 constexpr base::endpoint unknownAddress { 0xc6120009, 443 };
+constexpr std::uint32_t largeService = 49; // upstreams
 
 upstream_record record(std::uint32_t machine, std::string service = "orders")
 {
@@ -87,6 +90,23 @@
         head.tag = { kind, serviceDigest(serviceThere) };
         balancer.receivePacket(fake_codec::encode(head), sender, atMilliseconds(at));
     }
+    // Publishes a service whose upstreams need several rounds of probes.
+    void publishLargeService(std::int64_t at)
+    {
+        upstreams.upstreams.clear();
+        for (std::uint32_t machine = 1; machine <= largeService; ++machine)
+            upstreams.upstreams.push_back(record(machine));
+        publish(at);
+    }
+    std::set<std::uint32_t> probedMachines() const
+    {
+        std::set<std::uint32_t> machines;
+        for (const sent_packet &sent : output.toAgents) {
+            if (sent.head.tag.kind == instruction::probe)
+                machines.insert(sent.machine);
+        }
+        return machines;
+    }
     void denyAll(std::int64_t at)
     {
         for (const std::uint32_t machine : { 1U, 2U, 3U })
@@ -187,6 +207,75 @@
     CHECK_EQUAL(1, observer.decisions[decision_kind::ownerFound]);
 }
 
+// A client that waits for an answer sends its next packet only after hundreds of milliseconds.
+TEST(entry_balancer, DenialsLetASearchOfALargeServiceContinueWithoutTheClient)
+{
+    publishLargeService(0);
+    receive(packet(), 10);
+    for (std::size_t i = 0; i < output.toAgents.size(); ++i)
+        balancer.receiveMessage(output.toAgents[i].machine,
+                                flow_denial { { client, ordersAddress } }, atMilliseconds(12));
+
+    CHECK_EQUAL(largeService, probedMachines().size());
+    CHECK_EQUAL(largeService, output.toAgents.size());
+}
+
+// Upstreams that are frozen, cut off or slow, or whose denials are lost, must not delay the probes
+// of the others.
+TEST(entry_balancer, SilentUpstreamsDoNotStopASearch)
+{
+    publishLargeService(0);
+    receive(packet(), 10);
+    for (std::int64_t at = 15; at < 210; at += 5)
+        balancer.tick(atMilliseconds(at));
+
+    CHECK_EQUAL(largeService, probedMachines().size());
+}
+
+// Each packet would otherwise reach the same silent upstreams only.
+TEST(entry_balancer, PacketsInQuickSuccessionReachAllUpstreamsOfALargeService)
+{
+    publishLargeService(0);
+    for (std::int64_t at = 10; at < 210; at += 10) {
+        receive(packet(), at);
+        balancer.tick(atMilliseconds(at + 5));
+    }
+
+    CHECK_EQUAL(largeService, probedMachines().size());
+}
+
+TEST(entry_balancer, UpstreamThatIsListedDuringASearchIsProbedWithoutTheClient)
+{
+    publish(0);
+    receive(packet(), 10);
+    upstreams.upstreams.push_back(record(5));
+    publish(500);
+    balancer.tick(atMilliseconds(501));
+
+    CHECK_TRUE(probedMachines().contains(5));
+}
+
+// Another packet may have started a new round of probes that has not reached the owner yet.
+TEST(entry_balancer, OwnerOfASearchedFlowGetsTheLastPacket)
+{
+    publishLargeService(0);
+    receive(packet(), 10);
+    const std::uint32_t owner = output.toAgents[0].machine;
+    for (std::int64_t at = 11; at < 40; at += 5)
+        balancer.tick(atMilliseconds(at));
+    packet_head second = packet();
+    second.sequence = 77;
+    output.toAgents.clear();
+    receive(second, 40);
+    CHECK_FALSE(probedMachines().contains(owner));
+    balancer.receiveMessage(owner, flow_claim { { { client, ordersAddress } } },
+                            atMilliseconds(41));
+
+    CHECK_EQUAL(owner, output.toAgents.back().machine);
+    CHECK_EQUAL(77, output.toAgents.back().head.sequence);
+    CHECK_TRUE(output.toAgents.back().head.tag.kind == instruction::deliver);
+}
+
 // A reset breaks an open flow, so all possible owners must deny the flow first.
 TEST(entry_balancer, FlowIsNotResetWhileOneUpstreamHasNotDenied)
 {
