Keep the owner of an open flow when a late copy of its opening packet is refused

What callers would see: the packets of an open flow go to another upstream, until that one returns the first of them.

Cause: an upstream that has opened a flow may still refuse a late copy of its opening packet, for instance when its queue is full. The entry instance took the refusal for one of the flow, and placed the flow again although an agent had claimed it.

Failed before: RefusedCopyOfAnOpeningPacketDoesNotMoveAnOpenFlow (3 packets to agents instead of 2). The copy is now dropped when the flow has been claimed: the client already has its answer.

--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -176,6 +176,10 @@
             forward(known->second, key.service, packet);
         return;
     }
+    if (refused && known->second.confirmed) {
+        ++m_counters.dropped; // a copy that arrived after the flow was opened
+        return;
+    }
     if (refused) {
         receiveRefused(head, packet, *route, now);
         return;
--- a/packages/flow/tests/entry_balancer_test.cpp
+++ b/packages/flow/tests/entry_balancer_test.cpp
@@ -426,6 +426,22 @@
     CHECK_EQUAL(0, output.toClients.size());
 }
 
+// A late copy of an opening packet may be refused by an upstream that has opened the flow
+// meanwhile. The flow must not be placed a second time.
+TEST(entry_balancer, RefusedCopyOfAnOpeningPacketDoesNotMoveAnOpenFlow)
+{
+    publish(0);
+    receive(opening(), 10);
+    const std::uint32_t owner = output.toAgents.back().machine;
+    balancer.receiveMessage(owner, flow_claim { { { client, ordersAddress } } },
+                            atMilliseconds(20));
+    receiveBack(opening(1), instruction::refused, 215);
+    receive(packet(), 220);
+
+    CHECK_EQUAL(2, output.toAgents.size());
+    CHECK_EQUAL(owner, output.toAgents.back().machine);
+}
+
 TEST(entry_balancer, OpeningPacketThatAllRefuseIsReset)
 {
     publish(0);
