Probe an upstream again at once when a probe named its former service

What callers would see: after the address of an upstream was reused within the services of one route, the packets of an open flow reach the other upstreams and not its own, until the client sends again and a newer list has arrived.

The answer of the agent (another service, not delivered) was stored as no answer, and the next try waited for the client and for the list, although the answer names the present service.

Failed before: UpstreamProbedForItsFormerServiceIsProbedForItsPresentOneAtOnce (0 probes instead of 1).

--- a/packages/flow/src/owner_search.cpp
+++ b/packages/flow/src/owner_search.cpp
@@ -168,11 +168,14 @@
     const flow_route *route = routeOf(denial.flow.service);
     if (found == m_searches.end() || route == nullptr)
         return;
-    // An upstream that was probed for a former service of its address may hold the flow. A later
-    // packet probes it again when the list names its present service.
-    if (denial.misdirected && mayServe(*route, denial.serviceDigest))
-        return;
     search &state = found->second;
+    if (denial.misdirected && mayServe(*route, denial.serviceDigest)) {
+        // The list here is older than the upstream; the agent names the upstream's present service.
+        sendTagged(instruction::probe, denial.serviceDigest, route, machine, state.lastPacket);
+        ++state.probes;
+        ++m_counters.probes;
+        return;
+    }
     const auto item = std::ranges::find(state.candidates, machine, &candidate::machine);
     if (item == state.candidates.end())
         return;
--- a/packages/flow/tests/entry_balancer_test.cpp
+++ b/packages/flow/tests/entry_balancer_test.cpp
@@ -543,6 +543,23 @@
     CHECK_EQUAL(1, balancer.openSearches());
 }
 
+// Otherwise the packet misses its owner until the client sends another one.
+TEST(entry_balancer, UpstreamProbedForItsFormerServiceIsProbedForItsPresentOneAtOnce)
+{
+    routes.routes.front().services.push_back({ "catalog", 1 });
+    publish(0);
+    receive(packet(), 10);
+    output.toAgents.clear();
+    balancer.receiveMessage(
+            2, flow_denial { { client, ordersAddress }, serviceDigest("catalog"), true },
+            atMilliseconds(12));
+
+    CHECK_EQUAL(1, output.toAgents.size());
+    CHECK_EQUAL(2, output.toAgents[0].machine);
+    CHECK_TRUE(output.toAgents[0].head.tag.kind == instruction::probe);
+    CHECK_EQUAL(serviceDigest("catalog"), output.toAgents[0].head.tag.value);
+}
+
 TEST(entry_balancer, UpstreamProbedForItsFormerServiceHasNotDenied)
 {
     publish(0);
