Do not reset flows while an agent that is not listed sends reports

What callers would see: after an outage of the store, in which entries of sound upstreams lapsed, a restarted entry instance resets open flows of these upstreams.

Cause: the instance concluded from a list alone that a flow does not exist. Its first list may have been read before all upstreams registered again; instances that ran before the outage know them, a restarted one does not. The agents of these upstreams still send it reports, which were ignored.

Evidence: FlowIsNotResetWhileAnUnlistedAgentReports failed before (1 reset). A reset now waits until no unlisted agent has reported for the time in which upstreams register again. An instance that starts together with all agents is not covered.

--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -179,10 +179,11 @@
     base::time_point m_nextExpiry {};
     base::time_point m_nextSearchUpdate {};
     base::time_point m_firstHelloAt {};
-    base::time_point m_lastAgentMessageAt {}; // from any agent
-    base::time_point m_lastListAt {};         // arrival of the last list, read by any instance
-    bool m_searchNeedsRead = false;           // a search waits for a newer list
-    bool m_searchInProgress = false;          // a search has probes to send
+    base::time_point m_lastAgentMessageAt {};  // from any agent that the directory has
+    base::time_point m_unlistedAgentSeenAt {}; // last message of an agent that it does not have
+    base::time_point m_lastListAt {};          // arrival of the last list, read by any instance
+    bool m_searchNeedsRead = false;            // a search waits for a newer list
+    bool m_searchInProgress = false;           // a search has probes to send
     base::byte_vector m_scratch;
     entry_counters m_counters;
 };
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -211,8 +211,12 @@
 void entry_balancer::receiveMessage(std::uint32_t machine, const peer_message &message,
                                     base::time_point now)
 {
+    const bool sentByAgent = std::holds_alternative<load_report>(message)
+            || std::holds_alternative<flow_claim>(message);
     if (m_directory.find(machine) != nullptr)
         m_lastAgentMessageAt = now;
+    else if (sentByAgent)
+        m_unlistedAgentSeenAt = now;
     if (const auto *report = std::get_if<load_report>(&message))
         m_directory.report(machine, *report, now);
     else if (const auto *claimed = std::get_if<flow_claim>(&message))
--- a/packages/flow/src/owner_search.cpp
+++ b/packages/flow/src/owner_search.cpp
@@ -221,9 +221,13 @@
         // flow does not exist. An older list may lack upstreams that are in the views of others.
         const bool listIsNewer = m_directory.readAt() > state.startedAt;
         m_searchNeedsRead = m_searchNeedsRead || !listIsNewer;
-        if (listIsNewer)
-            resetClient(state.lastHead, "no upstream holds the flow", now);
-        return listIsNewer;
+        // The upstream of an agent that reports although it is not listed may register again.
+        const bool listMayBeIncomplete =
+                now - m_unlistedAgentSeenAt < upstream_directory::reregistrationTime;
+        if (!listIsNewer || listMayBeIncomplete)
+            return false;
+        resetClient(state.lastHead, "no upstream holds the flow", now);
+        return true;
     });
 }
 
--- a/packages/flow/tests/entry_balancer_test.cpp
+++ b/packages/flow/tests/entry_balancer_test.cpp
@@ -357,6 +357,38 @@
     CHECK_EQUAL(0, balancer.openSearches());
 }
 
+// The first list of a restarted instance may have been read after an outage of the store, before
+// all upstreams registered again. Their agents still send reports.
+TEST(entry_balancer, FlowIsNotResetWhileAnUnlistedAgentReports)
+{
+    upstreams.upstreams.erase(upstreams.upstreams.begin() + 2);
+    publish(0);
+    balancer.receiveMessage(3, load_report {}, atMilliseconds(5));
+    receive(packet(), 10);
+    denyAll(12);
+    publish(500);
+    balancer.tick(atMilliseconds(501));
+    CHECK_EQUAL(0, output.toClients.size());
+
+    upstreams.upstreams.push_back(record(3));
+    publish(1500);
+    balancer.tick(atMilliseconds(1501));
+    CHECK_TRUE(probedMachines().contains(3));
+}
+
+TEST(entry_balancer, UnlistedAgentThatStoppedReportingDoesNotDelayResets)
+{
+    upstreams.upstreams.erase(upstreams.upstreams.begin() + 2);
+    publish(0);
+    balancer.receiveMessage(3, load_report {}, atMilliseconds(5));
+    receive(packet(), 10);
+    denyAll(12);
+    publish(2600);
+    balancer.tick(atMilliseconds(2601));
+
+    CHECK_EQUAL(1, output.toClients.size());
+}
+
 // The machine of a removed upstream may be switched off, so that no denial can arrive.
 TEST(entry_balancer, RemovedUpstreamWithASilentAgentNeedsNoDenial)
 {
