Measure the silence of an agent against the other agents, not the clock

What callers would see: an entry instance that stalled or was cut off for more than a second treats the flows of every unlisted upstream as gone, searches them, and may reset them.

Cause: silence of an agent for a second, together with a missing entry, counted as proof that its upstream is gone. After a stall of the instance itself all agents look silent, until it has handled the messages that wait for it, and packets of clients come first.

Evidence: SilenceOfAllAgentsDoesNotMeanThatARemovedUpstreamIsGone failed before (3 probes instead of one delivery). An agent now counts as silent if others were heard a second after it.

FlowOfARemovedAndUnreachableUpstreamIsSearched had no message of any agent for 2 s; it now has a report of another agent, as a running system has one each 200 ms. Its checks are unchanged.

--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -154,7 +154,7 @@
     // Continues all searches and ends those that have a result or have expired.
     void updateSearches(base::time_point now);
     // Whether no upstream holds the flow, by the answers so far and by the current list.
-    bool allDeny(const flow_route &route, const search &state, base::time_point now) const;
+    bool allDeny(const flow_route &route, const search &state) const;
     // Describes the state of a search in a decision.
     flow_decision describe(decision_kind kind, const flow_key &key, const search &state,
                            base::time_point now) const;
@@ -179,8 +179,7 @@
     base::time_point m_nextExpiry {};
     base::time_point m_nextSearchUpdate {};
     base::time_point m_firstHelloAt {};
-    base::time_point m_lastAgentMessageAt {};  // from any agent that the directory has
-    base::time_point m_unlistedAgentSeenAt {}; // last message of an agent that it does not have
+    base::time_point m_unlistedAgentSeenAt {}; // last message of an agent not in the directory
     base::time_point m_lastListAt {};          // arrival of the last list, read by any instance
     bool m_searchNeedsRead = false;            // a search waits for a newer list
     bool m_searchInProgress = false;           // a search has probes to send
--- a/packages/flow/include/oriolehold/flow/upstream_directory.h
+++ b/packages/flow/include/oriolehold/flow/upstream_directory.h
@@ -20,6 +20,7 @@
     base::time_point warmUpEndsAt {};
     load_report report;
     base::time_point reportedAt {};        // arrival of the report; epoch: never
+    base::time_point heardAt {};           // last message of its agent, at first when it was added
     std::uint32_t assignedSinceReport = 0; // flows
     base::time_point avoidUntil {};        // set after it refused an opening packet
 
@@ -41,10 +42,10 @@
     static constexpr std::chrono::milliseconds reregistrationTime { 2500 };
     // A removed upstream may still hold flows. The search for an owner includes it for this time.
     static constexpr std::chrono::seconds removedRetention { 20 };
-    // An upstream that has been unlisted for this time holds no flow any more if its agent sends no
-    // reports or gets no answers from it.
+    // An upstream that has been unlisted for this time holds no flow any more if its agent is
+    // silent or gets no answers from it.
     static constexpr std::chrono::milliseconds unlistedTimeout { 500 };
-    // Five missed reports.
+    // Five missed reports, while messages of other agents arrive.
     static constexpr std::chrono::milliseconds agentTimeout { 1000 };
     // A longer gap between the reads of two lists counts as an outage of the store.
     static constexpr std::chrono::milliseconds outageGap { 2500 };
@@ -55,6 +56,10 @@
                 const std::function<void(const directory_change &)> &onChange);
     // Stores the report of the agent on the machine; ignored if the machine is unknown.
     void report(std::uint32_t machine, const load_report &report, base::time_point now);
+    // The agent on the machine sent a message; ignored if the machine is unknown.
+    void hear(std::uint32_t machine, base::time_point now);
+    // Time of the last message of any agent that the directory has; epoch: none.
+    base::time_point heardAt() const { return m_heardAt; }
 
     known_upstream *find(std::uint32_t machine);
     const known_upstream *find(std::uint32_t machine) const;
@@ -63,7 +68,7 @@
     // Returns all machines that may hold a flow of the route, listed ones and those in zone first.
     std::vector<std::uint32_t> possibleOwners(const flow_route &route, std::string_view zone) const;
     // Whether the upstream on the machine certainly holds no flow. True for an unknown machine.
-    bool holdsNoFlows(std::uint32_t machine, base::time_point now) const;
+    bool holdsNoFlows(std::uint32_t machine) const;
     std::vector<std::uint32_t> machines() const;
 
     bool empty() const { return m_upstreams.empty(); }
@@ -77,6 +82,7 @@
     std::uint64_t m_revision = 0;
     base::time_point m_readAt {};
     base::time_point m_outageEndedAt {}; // epoch: no outage so far
+    base::time_point m_heardAt {};       // last message of any agent
 };
 
 } // namespace oriolehold::flow
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -72,7 +72,7 @@
 {
     const flow_key key = keyOfClientPacket(head);
     auto known = m_owners.find(key);
-    if (known != m_owners.end() && m_directory.holdsNoFlows(known->second.machine, now)) {
+    if (known != m_owners.end() && m_directory.holdsNoFlows(known->second.machine)) {
         m_owners.erase(known);
         known = m_owners.end();
     }
@@ -213,9 +213,8 @@
 {
     const bool sentByAgent = std::holds_alternative<load_report>(message)
             || std::holds_alternative<flow_claim>(message);
-    if (m_directory.find(machine) != nullptr)
-        m_lastAgentMessageAt = now;
-    else if (sentByAgent)
+    m_directory.hear(machine, now);
+    if (sentByAgent && m_directory.find(machine) == nullptr)
         m_unlistedAgentSeenAt = now;
     if (const auto *report = std::get_if<load_report>(&message))
         m_directory.report(machine, *report, now);
@@ -350,7 +349,7 @@
 bool entry_balancer::isolated(base::time_point now) const
 {
     return m_firstHelloAt != base::time_point {}
-    && now - std::max(m_lastAgentMessageAt, m_firstHelloAt) > isolationTimeout;
+    && now - std::max(m_directory.heardAt(), m_firstHelloAt) > isolationTimeout;
 }
 
 bool entry_balancer::ready(base::time_point now) const
--- a/packages/flow/src/owner_search.cpp
+++ b/packages/flow/src/owner_search.cpp
@@ -186,12 +186,11 @@
         m_nextSearchUpdate = now;
 }
 
-bool entry_balancer::allDeny(const flow_route &route, const search &state,
-                             base::time_point now) const
+bool entry_balancer::allDeny(const flow_route &route, const search &state) const
 {
     const auto owners = m_directory.possibleOwners(route, m_identity.zone);
     return std::ranges::all_of(owners, [&](std::uint32_t machine) {
-        if (m_directory.holdsNoFlows(machine, now))
+        if (m_directory.holdsNoFlows(machine))
             return true;
         const auto found = std::ranges::find(state.candidates, machine, &candidate::machine);
         return found != state.candidates.end() && found->denied;
@@ -215,7 +214,7 @@
         addCandidates(state, *route, 0);
         if (!state.roundComplete)
             sendProbes(*route, state, now);
-        if (!allDeny(*route, state, now))
+        if (!allDeny(*route, state))
             return false;
         // If all possible owners deny the flow, by a list that was read after the search began, the
         // flow does not exist. An older list may lack upstreams that are in the views of others.
--- a/packages/flow/src/upstream_directory.cpp
+++ b/packages/flow/src/upstream_directory.cpp
@@ -30,6 +30,8 @@
             onChange({ change::phaseChanged, record.id, record.address });
         if (restarted)
             known = {};
+        if (added || restarted)
+            known.heardAt = now;
         known.record = record;
         known.listed = true;
         known.seenInList = readAt;
@@ -62,6 +64,15 @@
     known->assignedSinceReport = 0;
 }
 
+void upstream_directory::hear(std::uint32_t machine, base::time_point now)
+{
+    known_upstream *known = find(machine);
+    if (known == nullptr)
+        return;
+    known->heardAt = now;
+    m_heardAt = now;
+}
+
 known_upstream *upstream_directory::find(std::uint32_t machine)
 {
     const auto found = m_upstreams.find(machine);
@@ -102,12 +113,13 @@
     return result;
 }
 
-bool upstream_directory::holdsNoFlows(std::uint32_t machine, base::time_point now) const
+bool upstream_directory::holdsNoFlows(std::uint32_t machine) const
 {
     const known_upstream *known = find(machine);
     if (known == nullptr)
         return true;
-    const bool unreachable = now - known->reportedAt > agentTimeout || !known->report.responsive;
+    // Only silence while other agents are heard tells something about this one.
+    const bool unreachable = m_heardAt - known->heardAt > agentTimeout || !known->report.responsive;
     return !known->listed && m_readAt - known->seenInList > unlistedTimeout && unreachable;
 }
 
--- a/packages/flow/tests/entry_balancer_test.cpp
+++ b/packages/flow/tests/entry_balancer_test.cpp
@@ -405,6 +405,24 @@
     CHECK_EQUAL(1, output.toClients.size());
 }
 
+// An instance that stalled or was cut off hears no agent. It must not take all unlisted upstreams
+// for gone before it has handled the messages that wait for it.
+TEST(entry_balancer, SilenceOfAllAgentsDoesNotMeanThatARemovedUpstreamIsGone)
+{
+    publish(0);
+    balancer.receiveMessage(3, flow_claim { { { client, ordersAddress } } }, atMilliseconds(5));
+    upstreams.upstreams.erase(upstreams.upstreams.begin() + 2);
+    publish(1000);
+    publish(2000);
+    for (const std::uint32_t machine : { 1U, 2U, 3U })
+        balancer.receiveMessage(machine, load_report {}, atMilliseconds(2005));
+    receive(packet(), 4010);
+
+    CHECK_EQUAL(1, output.toAgents.size());
+    CHECK_EQUAL(3, output.toAgents[0].machine);
+    CHECK_TRUE(output.toAgents[0].head.tag.kind == instruction::deliver);
+}
+
 // Packets to such an upstream are lost. After a wrong claim another upstream may hold the flow; if
 // none does, the search ends with a reset of the client.
 TEST(entry_balancer, FlowOfARemovedAndUnreachableUpstreamIsSearched)
@@ -414,6 +432,7 @@
     upstreams.upstreams.erase(upstreams.upstreams.begin() + 2);
     publish(1000);
     publish(2000);
+    balancer.receiveMessage(1, load_report {}, atMilliseconds(2005));
     receive(packet(), 2010);
 
     CHECK_TRUE(output.toAgents.size() > 1);
