Claim a flow only after a packet of it from the upstream

Callers would see packets of an open flow go to another upstream: an agent took a probe as accepted when 30 ms had passed and its upstream had sent anything 2 ms or more after the delivery, and claimed the flow to all entry instances, where the claim replaces a confirmed owner.

Cause: silence was taken as an answer. An upstream sends answers of earlier requests at any time, so the condition also holds for a slow upstream, for a stalled agent that has not read its socket, and for a lost datagram.

Evidence: ProbeIsClaimedOnlyAfterAPacketOfItsFlow fails on the former code ("expected <0> but was <1>": a claim 40 ms after a probe, though the upstream had only answered another flow). UnansweredAcknowledgementsDoNotMakeThe- UpstreamUnresponsive fails on it too: three bare acknowledgements, which an upstream does not answer when it holds their flows, were reported as a silent upstream.

Why this works: only a packet of the flow from the upstream, other than the answer to an opening packet or a reset, makes the agent claim it. A probe that is not returned needs no claim: the search keeps who denied, so later packets go to the upstreams that have not, the owner among them. For the report, only probes with data count, after 1 s without any packet of the upstream: data is returned, or acknowledged at the latest after the client's copy.

ProbeThatTheUpstreamDoesNotReturnIsClaimed asked for the fault and is replaced by ProbeIsClaimedOnlyAfterAPacketOfItsFlow: no claim for 4 s after the probe, none to a restarted entry instance, and exactly one, of this flow, at the first packet of the flow. SilentUpstreamThatGetsProbesIsReportedAsUnresponsive is new; the former code passes it. In flow_mutants.sh, silence-is-claimed matched the removed condition; it now claims each probe on delivery, and opening-answer-is-claimed is added.

--- a/packages/flow/include/oriolehold/flow/flow_agent.h
+++ b/packages/flow/include/oriolehold/flow/flow_agent.h
@@ -82,11 +82,6 @@
         std::uint64_t bootId = 0;
         base::time_point lastHelloAt {};
     };
-    struct pending_probe
-    {
-        flow_key key;
-        base::time_point deliveredAt {};
-    };
     // An opening packet without an answer of the upstream so far.
     struct pending_opening
     {
@@ -123,8 +118,8 @@
     void broadcastClaim(const flow_claim &claim);
     // Sends claims of all open flows to the entry instance on the machine.
     void claimAllFlows(std::uint32_t machine);
-    // Marks flows as open whose probes a running upstream has not returned in time.
-    void claimUnreturnedProbes(base::time_point now);
+    // Counts probes after which the upstream has sent nothing.
+    void countUnansweredProbes(base::time_point now);
     // Refuses opening packets that the upstream has not answered in time.
     void returnUnansweredOpenings(base::time_point now);
     void expire(base::time_point now);
@@ -140,8 +135,8 @@
     std::size_t m_openFlows = 0;
     boost::unordered_flat_map<std::uint32_t, known_entry> m_entries; // by machine address
     std::vector<base::endpoint> m_entryEndpoints; // by the index in the tags of packets
-    std::deque<pending_probe> m_probes;           // in the order of their times
-    std::deque<pending_opening> m_openings;       // in the order of their times
+    std::deque<base::time_point> m_probes; // delivery times of probes that need an answer, in order
+    std::deque<pending_opening> m_openings; // in the order of their times
     base::time_point m_lastUpstreamPacketAt {};
     std::uint32_t m_unanswered = 0; // packets without an answer since then
     load_meter m_load;
--- a/packages/flow/src/flow_agent.cpp
+++ b/packages/flow/src/flow_agent.cpp
@@ -10,12 +10,9 @@
 using namespace std::chrono_literals;
 using instruction = packet_tag::instruction;
 
-// The upstream is on the same machine and returns a packet of an unknown flow at once. If it runs,
-// it has accepted a packet that it has not returned after this time.
-constexpr base::duration probeTimeout = 30ms;
-// Time that the upstream needs to process a probe. A packet that it sends later shows that it runs
-// and has processed the probe.
-constexpr base::duration probeProcessingTime = 2ms;
+// An upstream returns a data packet of an unknown flow at once, and acknowledges one of its own
+// flows at the latest when the client's copy arrives after 200 ms.
+constexpr base::duration probeTimeout = 1s;
 constexpr base::duration reportInterval = 200ms;
 // An upstream answers an opening packet within milliseconds. One that takes longer has crashed or
 // stalled, and another upstream can still answer before the client retransmits the packet after
@@ -96,8 +93,9 @@
     }
     if (isProbe && state.open)
         m_output.sendMessage(entry.address, flow_claim { { key } });
-    if (isProbe && added)
-        m_probes.push_back({ key, now });
+    // A bare acknowledgement of a flow that the upstream holds is not answered.
+    if (isProbe && added && head->payloadSize > 0)
+        m_probes.push_back(now);
     if (head->isOpening() && added)
         m_openings.push_back(
                 { key, entry, now + openingTimeout, { packet.begin(), packet.end() } });
@@ -143,8 +141,8 @@
 {
     const bool alreadyHeld = m_holdQueue.holds(key);
     const bool begins = !alreadyHeld && beginsRequest(state, head);
-    // Only requests of flows that the upstream has answered are held: a held probe would look like
-    // one that the upstream accepted.
+    // Only requests of flows that the upstream has answered are held: the search for the owner of
+    // another flow must not wait.
     const bool mustHold =
             alreadyHeld || (begins && state.answered && m_holdQueue.mustHold(m_load.running()));
     if (head.payloadSize > 0 && mustHold) {
@@ -328,20 +326,12 @@
     }
 }
 
-void flow_agent::claimUnreturnedProbes(base::time_point now)
+void flow_agent::countUnansweredProbes(base::time_point now)
 {
-    while (!m_probes.empty() && m_probes.front().deliveredAt + probeTimeout <= now) {
-        const pending_probe probe = m_probes.front();
-        m_probes.pop_front();
-        const auto found = m_flows.find(probe.key);
-        // A returned packet removes its flow.
-        if (found == m_flows.end() || found->second.open)
-            continue;
-        // An upstream that crashed returns nothing and holds nothing.
-        if (m_lastUpstreamPacketAt > probe.deliveredAt + probeProcessingTime)
-            markOpen(probe.key, found->second, "the upstream did not return a probe");
-        else
+    while (!m_probes.empty() && m_probes.front() + probeTimeout <= now) {
+        if (m_lastUpstreamPacketAt <= m_probes.front())
             ++m_unanswered;
+        m_probes.pop_front();
     }
 }
 
@@ -381,7 +371,7 @@
 
 base::duration flow_agent::tick(base::time_point now)
 {
-    claimUnreturnedProbes(now);
+    countUnansweredProbes(now);
     returnUnansweredOpenings(now);
     releaseHeld(now);
     if (now >= m_nextReport)
@@ -390,7 +380,7 @@
         expire(now);
     base::time_point next = std::min(m_nextReport, m_nextExpiry);
     if (!m_probes.empty())
-        next = std::min(next, m_probes.front().deliveredAt + probeTimeout);
+        next = std::min(next, m_probes.front() + probeTimeout);
     next = std::min(next, m_holdQueue.next());
     if (!m_openings.empty())
         next = std::min(next, m_openings.front().returnAt);
--- a/packages/flow/tests/flow_agent_test.cpp
+++ b/packages/flow/tests/flow_agent_test.cpp
@@ -61,6 +61,12 @@
     {
         agent.receiveFromUpstream(fake_codec::encode(head), atMilliseconds(at));
     }
+    // Calls tick() every 40 ms.
+    void tickUntil(std::int64_t last)
+    {
+        for (std::int64_t at = 40; at <= last; at += 40)
+            agent.tick(atMilliseconds(at));
+    }
     // The upstream returns the last packet that it received.
     void returnLast(std::int64_t at)
     {
@@ -176,8 +182,9 @@
     CHECK_EQUAL(0, output.toEntries.size());
 }
 
-// A restarted agent has no flows. An upstream that does not return the probe holds its flow.
-TEST(flow_agent, ProbeThatTheUpstreamDoesNotReturnIsClaimed)
+// A stalled agent, a slow upstream or a lost datagram looks the same as an upstream that keeps the
+// probe. A claim of this agent would redirect the flow from the upstream that holds it.
+TEST(flow_agent, ProbeIsClaimedOnlyAfterAPacketOfItsFlow)
 {
     sendHello();
     receive(fromClient(instruction::probe), 0);
@@ -185,9 +192,42 @@
     other.destination.port = 2;
     other.opens = true;
     answer(other, 20);
-    agent.tick(atMilliseconds(40));
+    tickUntil(4000);
+    CHECK_EQUAL(0, output.sent<flow_claim>().size());
+    sendHello(2);
+    CHECK_EQUAL(0, output.sent<flow_claim>().size());
+    answer(fromUpstream(), 4010);
 
     CHECK_EQUAL(1, output.sent<flow_claim>().size());
+    CHECK_TRUE(output.sent<flow_claim>()[0].flows.at(0) == keyOfClientPacket(fromClient()));
+}
+
+// Upstreams answer a bare acknowledgement with nothing when they hold its flow.
+TEST(flow_agent, UnansweredAcknowledgementsDoNotMakeTheUpstreamUnresponsive)
+{
+    sendHello();
+    for (std::uint16_t port = 1; port <= 3; ++port) {
+        packet_head head = fromClient(instruction::probe);
+        head.source.port = port;
+        receive(head, 0);
+    }
+    tickUntil(2000);
+
+    CHECK_TRUE(output.sent<load_report>().back().responsive);
+}
+
+// A crashed upstream that is no longer listed gets probes only.
+TEST(flow_agent, SilentUpstreamThatGetsProbesIsReportedAsUnresponsive)
+{
+    sendHello();
+    for (std::uint16_t port = 1; port <= 2; ++port) {
+        packet_head head = fromClient(instruction::probe, 200);
+        head.source.port = port;
+        receive(head, 0);
+    }
+    tickUntil(2000);
+
+    CHECK_FALSE(output.sent<load_report>().back().responsive);
 }
 
 // A crashed upstream returns nothing. Claims for it would redirect flows of other upstreams to it.
--- a/scripts/flow_mutants.sh
+++ b/scripts/flow_mutants.sh
@@ -18,7 +18,8 @@
     "service-not-checked|src/flow_agent.cpp|s/if (head->tag.value != m_serviceDigest)/if (false)/"
     "draining-is-eligible|src/upstream_directory.cpp|s/ && known.record.phase == upstream_phase::ready//"
     "search-asks-one-upstream|src/owner_search.cpp|s/probesPerPacket = 12/probesPerPacket = 1/"
-    "silence-is-claimed|src/flow_agent.cpp|s/if (m_lastUpstreamPacketAt > probe.deliveredAt + probeProcessingTime)/if (true)/"
+    "silence-is-claimed|src/flow_agent.cpp|s/if (isProbe \&\& state.open)/if (isProbe)/"
+    "opening-answer-is-claimed|src/flow_agent.cpp|s/if (!head->opens \&\& !head->resets/if (!head->resets/"
     "misdirected-is-a-denial|src/entry_balancer.cpp|s/if (head.tag.kind == instruction::misdirected \&\& mayServe/if (false \&\& mayServe/"
     "probes-are-held|src/flow_agent.cpp|s/begins \&\& state.answered \&\& m_holdQueue/begins \&\& m_holdQueue/"
 )
