Return a probe of a claimed flow to its entry instance

Callers would lose a packet: an agent that knows a flow claims it before its upstream gets the probe. When the upstream then returned the probe, because it had restarted or had dropped the flow, the agent denied the flow. But the claim had ended the search, so the entry instance ignored the denial, kept the agent as the confirmed owner, and no other upstream got the packet.

Evidence: ReturnedProbeOfAClaimedFlowGoesBackToItsEntryInstance fails on the former code ("expected <1> but was <0>": nothing is sent to the entry instance).

Why this works: besides the denial, which counts if the claim was lost, the packet goes back as absent. The entry instance then removes the agent as the owner and searches the other upstreams with this packet. It ignores the packet if it has no owner, and forwards it if another agent claimed the flow.

--- a/packages/flow/src/flow_agent.cpp
+++ b/packages/flow/src/flow_agent.cpp
@@ -230,6 +230,8 @@
     }
     const base::endpoint entry = m_entryEndpoints[head.tag.value];
     const bool refused = head.isOpening();
+    const auto found = m_flows.find(key);
+    const bool claimed = found != m_flows.end() && found->second.open;
     ++(refused ? m_counters.refused : m_counters.absent);
     m_observer.decisionMade(
             { .kind = refused ? decision_kind::openingRefused : decision_kind::flowAbsent,
@@ -239,12 +241,12 @@
     removeFlow(key, now);
     if (refused)
         std::erase_if(m_openings, [&](const pending_opening &item) { return item.key == key; });
-    if (refused)
-        returnToEntry(entry, instruction::refused, packet);
-    else if (head.tag.kind == instruction::probe)
+    const bool isProbe = head.tag.kind == instruction::probe;
+    if (!refused && isProbe)
         m_output.sendMessage(entry.address, flow_denial { key, m_serviceDigest });
-    else
-        returnToEntry(entry, instruction::absent, packet);
+    // A claim answered the probe of a claimed flow, so the search has ended and must begin again.
+    if (refused || !isProbe || claimed)
+        returnToEntry(entry, refused ? instruction::refused : instruction::absent, packet);
 }
 
 void flow_agent::removeFlow(const flow_key &key, base::time_point now)
--- a/packages/flow/tests/flow_agent_test.cpp
+++ b/packages/flow/tests/flow_agent_test.cpp
@@ -426,6 +426,24 @@
     CHECK_EQUAL(client.port, portsOfRequests().back());
 }
 
+// The entry instance has ended its search by the claim, and no other upstream got the packet.
+TEST(flow_agent, ReturnedProbeOfAClaimedFlowGoesBackToItsEntryInstance)
+{
+    sendHello();
+    receive(opening(), 0);
+    answer(fromUpstream(), 1);
+    receive(fromClient(instruction::probe, 200), 1000);
+    returnLast(1001);
+
+    CHECK_EQUAL(1, output.sent<flow_denial>().size());
+    CHECK_EQUAL(1, output.toEntries.size());
+    CHECK_TRUE(output.toEntries[0].head.tag.kind == instruction::absent);
+    CHECK_EQUAL(200, output.toEntries[0].head.payloadSize);
+    output.messages.clear();
+    sendHello(2);
+    CHECK_EQUAL(0, output.sent<flow_claim>().size());
+}
+
 TEST(flow_agent, SummariesAreForwardedToOtherEntryInstances)
 {
     sendHello();
