Never hold a probe; release the held packets of its flow before it

Callers would see an open flow stand still, while copies of its packets reach other upstreams: the agent held the data packet of a probe while its upstream was busy when the upstream had answered on the flow before, for up to 0.45 of the route's timeout, and added probes to packets already held. The other upstreams got and returned the same probes meanwhile.

Evidence: ProbeOfAnAnsweredFlowIsNotHeld fails on the former code ("expected <4> but was <3>"), and so does ProbeReleasesTheHeldPacketsOfItsFlow ("expected <5> but was <3>").

Why this works: a probe goes to the upstream at once. Packets of its flow that wait in the hold queue go before it, in the order of their arrival, and count as a running request, so further requests of other flows are held as before.

ProbeIsNotHeldWhileTheUpstreamIsBusy stays; its line above names the present reason.

--- a/packages/flow/include/oriolehold/flow/flow_agent.h
+++ b/packages/flow/include/oriolehold/flow/flow_agent.h
@@ -105,9 +105,12 @@
                                       base::time_point now) const;
     void beginRequest(flow_state &state, std::uint8_t priority, base::duration held,
                       base::time_point now);
-    // Sends the packet to the upstream, or holds it while the upstream is busy.
+    // Sends the packet to the upstream, or holds it while the upstream is busy. A probe is not held
+    // and releases the held packets of its flow before it.
     void deliver(const flow_key &key, flow_state &state, const packet_head &head,
                  base::time_point now);
+    // Sends the released packets of a request to the upstream.
+    hold_queue::release_handler releaseHandler(base::time_point now);
     void releaseHeld(base::time_point now);
     void returnToEntry(const base::endpoint &entry, packet_tag::instruction kind,
                        base::byte_view packet);
--- a/packages/flow/include/oriolehold/flow/hold_queue.h
+++ b/packages/flow/include/oriolehold/flow/hold_queue.h
@@ -61,6 +61,8 @@
     // running returns the present number of requests at the upstream, including released ones.
     void release(base::time_point now, const std::function<std::uint32_t()> &running,
                  const release_handler &onRelease);
+    // Releases the request of the flow, if one is held.
+    void releaseFlow(const flow_key &key, base::time_point now, const release_handler &onRelease);
 
     // Number of held requests.
     std::size_t held() const { return m_held.size(); }
@@ -81,7 +83,12 @@
         return item.second.constraints.releaseBy;
     }
 
-    boost::unordered_flat_map<flow_key, held_request, flow_key_hash> m_held;
+    using held_map = boost::unordered_flat_map<flow_key, held_request, flow_key_hash>;
+
+    void releaseItem(held_map::iterator item, base::time_point now,
+                     const release_handler &onRelease);
+
+    held_map m_held;
     std::uint32_t m_slots = 0;
 };
 
--- a/packages/flow/src/flow_agent.cpp
+++ b/packages/flow/src/flow_agent.cpp
@@ -139,12 +139,14 @@
 void flow_agent::deliver(const flow_key &key, flow_state &state, const packet_head &head,
                          base::time_point now)
 {
+    // Other upstreams get the same probe at once.
+    const bool mayHold = head.tag.kind != instruction::probe;
+    if (!mayHold)
+        m_holdQueue.releaseFlow(key, now, releaseHandler(now));
     const bool alreadyHeld = m_holdQueue.holds(key);
     const bool begins = !alreadyHeld && beginsRequest(state, head);
-    // Only requests of flows that the upstream has answered are held: the search for the owner of
-    // another flow must not wait.
-    const bool mustHold =
-            alreadyHeld || (begins && state.answered && m_holdQueue.mustHold(m_load.running()));
+    const bool mustHold = alreadyHeld
+            || (begins && mayHold && state.answered && m_holdQueue.mustHold(m_load.running()));
     if (head.payloadSize > 0 && mustHold) {
         m_counters.held += begins ? 1 : 0;
         m_holdQueue.hold(key, constraintsOf(state, head.tag, now), head.sequence, m_scratch, now);
@@ -161,21 +163,25 @@
     m_output.sendToUpstream(m_scratch);
 }
 
+hold_queue::release_handler flow_agent::releaseHandler(base::time_point now)
+{
+    return [this, now](const flow_key &key, const hold_queue::release_info &info,
+                       std::span<const base::byte_vector> packets) {
+        const auto found = m_flows.find(key);
+        if (found != m_flows.end())
+            beginRequest(found->second, info.priority, info.held, now);
+        for (const base::byte_vector &packet : packets) {
+            if (const auto head = m_codec.decode(packet); head && found != m_flows.end())
+                found->second.requestSequence = head->sequence + head->payloadSize;
+            m_output.sendToUpstream(packet);
+        }
+    };
+}
+
 void flow_agent::releaseHeld(base::time_point now)
 {
     m_holdQueue.release(
-            now, [this] { return m_load.running(); },
-            [&](const flow_key &key, const hold_queue::release_info &info,
-                std::span<const base::byte_vector> packets) {
-                const auto found = m_flows.find(key);
-                if (found != m_flows.end())
-                    beginRequest(found->second, info.priority, info.held, now);
-                for (const base::byte_vector &packet : packets) {
-                    if (const auto head = m_codec.decode(packet); head && found != m_flows.end())
-                        found->second.requestSequence = head->sequence + head->payloadSize;
-                    m_output.sendToUpstream(packet);
-                }
-            });
+            now, [this] { return m_load.running(); }, releaseHandler(now));
 }
 
 void flow_agent::receiveFromUpstream(base::byte_view packet, base::time_point now)
--- a/packages/flow/src/hold_queue.cpp
+++ b/packages/flow/src/hold_queue.cpp
@@ -37,13 +37,26 @@
             if (now < releaseBy(*chosen))
                 return;
         }
-        const flow_key key = chosen->first;
-        const held_request request = std::move(chosen->second);
-        m_held.erase(chosen);
-        onRelease(key, { request.constraints.priority, now - request.since }, request.packets);
+        releaseItem(chosen, now, onRelease);
     }
 }
 
+void hold_queue::releaseFlow(const flow_key &key, base::time_point now,
+                             const release_handler &onRelease)
+{
+    if (const auto found = m_held.find(key); found != m_held.end())
+        releaseItem(found, now, onRelease);
+}
+
+void hold_queue::releaseItem(held_map::iterator item, base::time_point now,
+                             const release_handler &onRelease)
+{
+    const flow_key key = item->first;
+    const held_request request = std::move(item->second);
+    m_held.erase(item);
+    onRelease(key, { request.constraints.priority, now - request.since }, request.packets);
+}
+
 base::time_point hold_queue::next() const
 {
     if (m_held.empty())
--- a/packages/flow/tests/flow_agent_test.cpp
+++ b/packages/flow/tests/flow_agent_test.cpp
@@ -415,7 +415,7 @@
     CHECK_EQUAL(4, portsOfRequests().size());
 }
 
-// A held probe is not returned in time, so the agent would claim its flow by mistake.
+// Other upstreams would get the packets of the flow meanwhile.
 TEST(flow_agent, ProbeIsNotHeldWhileTheUpstreamIsBusy)
 {
     sendHello(1, 2);
@@ -444,6 +444,44 @@
     CHECK_EQUAL(0, output.sent<flow_claim>().size());
 }
 
+// The packet would reach other upstreams as a probe, and its own one only seconds later.
+TEST(flow_agent, ProbeOfAnAnsweredFlowIsNotHeld)
+{
+    sendHello(1, 2);
+    for (std::uint16_t port = 1; port <= 3; ++port)
+        request(port, port);
+    receive(opening(), 10);
+    packet_head head = fromUpstream();
+    head.opens = true;
+    answer(head, 10);
+    receive(fromClient(instruction::probe, 200), 11);
+
+    CHECK_EQUAL(4, portsOfRequests().size());
+    CHECK_EQUAL(client.port, portsOfRequests().back());
+}
+
+// The upstream of the flow must get its packets in order, and no later than other upstreams.
+TEST(flow_agent, ProbeReleasesTheHeldPacketsOfItsFlow)
+{
+    sendHello(1, 2);
+    for (std::uint16_t port = 1; port <= 5; ++port)
+        request(port, port);
+    packet_head probe = fromClient(instruction::probe, 200, 300);
+    probe.source.port = 4;
+    receive(probe, 10);
+
+    CHECK_EQUAL(5, portsOfRequests().size());
+    const std::size_t last = output.toUpstream.size() - 1;
+    CHECK_EQUAL(4, output.toUpstream[last - 1].source.port);
+    CHECK_EQUAL(100, output.toUpstream[last - 1].sequence);
+    CHECK_EQUAL(4, output.toUpstream[last].source.port);
+    CHECK_EQUAL(300, output.toUpstream[last].sequence);
+    answerRequest(1, 20);
+    CHECK_EQUAL(5, portsOfRequests().size());
+    answerRequest(4, 21);
+    CHECK_EQUAL(5, portsOfRequests().back());
+}
+
 TEST(flow_agent, SummariesAreForwardedToOtherEntryInstances)
 {
     sendHello();
