Keep a flow when its upstream refuses a copy of the opening packet

Callers would lose the request that an agent held for them, and see packets of an open flow reach other upstreams after an entry instance restarts: when the upstream returned a late copy of an opening packet, for example because it was full, the agent forgot the flow, discarded its held request, no longer counted its running request, and sent no claim to restarted entry instances.

Cause: a refused opening packet was taken as a statement about the flow. It only tells that this copy opened nothing.

Evidence: on the former code RefusedCopyOfAnOpeningPacketKeepsTheOpenFlow fails ("expected <1> but was <0>", open flows), ...KeepsTheHeldRequest ("expected <4> but was <3>", requests at the upstream) and ...KeepsTheRunningRequest ("expected <1> but was <0>").

Why this works: the agent removes a flow after a refused opening packet only if the upstream has neither answered on it nor got data of it. Such a flow has nothing to lose, and its next copy is watched for an answer again.

--- a/packages/flow/include/oriolehold/flow/flow_agent.h
+++ b/packages/flow/include/oriolehold/flow/flow_agent.h
@@ -76,6 +76,9 @@
         std::uint8_t priority = 0;         // of the running request
         bool open = false;
         bool answered = false; // the upstream has sent a packet of the flow
+
+        // Whether the upstream has accepted an opening packet or got data of the flow.
+        bool mayBeOpen() const { return open || answered || requestSequence != 0; }
     };
     struct known_entry
     {
--- a/packages/flow/src/flow_agent.cpp
+++ b/packages/flow/src/flow_agent.cpp
@@ -244,7 +244,9 @@
               .flow = key,
               .machine = entry.address,
               .running = m_load.running() });
-    removeFlow(key, now);
+    // A refused copy of an opening packet tells nothing of a flow that another copy has opened.
+    if (!refused || (found != m_flows.end() && !found->second.mayBeOpen()))
+        removeFlow(key, now);
     if (refused)
         std::erase_if(m_openings, [&](const pending_opening &item) { return item.key == key; });
     const bool isProbe = head.tag.kind == instruction::probe;
--- a/packages/flow/tests/flow_agent_test.cpp
+++ b/packages/flow/tests/flow_agent_test.cpp
@@ -482,6 +482,51 @@
     CHECK_EQUAL(5, portsOfRequests().back());
 }
 
+// A full upstream refuses a late copy of the opening packet of a flow that it holds.
+TEST(flow_agent, RefusedCopyOfAnOpeningPacketKeepsTheOpenFlow)
+{
+    sendHello();
+    receive(opening(), 0);
+    answer(fromUpstream(), 1);
+    receive(opening(), 200, otherEntry);
+    returnLast(201);
+    CHECK_EQUAL(1, output.toEntries.size());
+    CHECK_TRUE(output.toEntries[0].head.tag.kind == instruction::refused);
+    CHECK_EQUAL(1, agent.openFlows());
+    output.messages.clear();
+    sendHello(2);
+
+    CHECK_EQUAL(1, output.sent<flow_claim>().size());
+}
+
+// The first answer of the upstream may come later than the refused copy.
+TEST(flow_agent, RefusedCopyOfAnOpeningPacketKeepsTheHeldRequest)
+{
+    sendHello(1, 2);
+    for (std::uint16_t port = 1; port <= 4; ++port)
+        request(port, port);
+    packet_head copy = opening();
+    copy.source.port = 4;
+    receive(copy, 200);
+    returnLast(201);
+    answerRequest(1, 210);
+
+    CHECK_EQUAL(4, portsOfRequests().size());
+    CHECK_EQUAL(4, portsOfRequests().back());
+}
+
+// A request that no longer counts keeps the hold queue from holding others.
+TEST(flow_agent, RefusedCopyOfAnOpeningPacketKeepsTheRunningRequest)
+{
+    request(1, 0);
+    packet_head copy = opening();
+    copy.source.port = 1;
+    receive(copy, 200);
+    returnLast(201);
+
+    CHECK_EQUAL(1, agent.load().running());
+}
+
 TEST(flow_agent, SummariesAreForwardedToOtherEntryInstances)
 {
     sendHello();
