Tell an unanswered opening packet from a refused one

Callers would be reset while an upstream accepts their flow: an agent returned an opening packet without an answer for 60 ms as `refused`, like one that the upstream had really returned. After three of them the entry instance resets the client with "refused by the upstreams", although an upstream that was only slow may have accepted the flow by then.

Cause: one instruction for two statements, of which only one is evidence.

Evidence: with the enumerator added and nothing else changed, UnansweredOpeningPacketIsReturned, which now asks for `unanswered`, fails ("CHECK_TRUE(... == instruction::unanswered) failed").

Why this works: the agent sends `unanswered` for the time-out. Entry instances treat it like a refusal in all respects for now, so what callers see changes only with the entry side; this commit prepares that.

UnansweredOpeningPacketIsReturned asked for `refused`, the fault, and asks now for the new instruction and also checks the receiving entry instance. EachInstructionUnpacksUnchanged and UnansweredOpeningPacketGoesToAnother- Upstream are new.

--- a/packages/flow/include/oriolehold/flow/flow_agent.h
+++ b/packages/flow/include/oriolehold/flow/flow_agent.h
@@ -126,7 +126,7 @@
     void claimAllFlows(std::uint32_t machine);
     // Counts probes after which the upstream has sent nothing.
     void countUnansweredProbes(base::time_point now);
-    // Refuses opening packets that the upstream has not answered in time.
+    // Returns opening packets that the upstream has not answered in time.
     void returnUnansweredOpenings(base::time_point now);
     void expire(base::time_point now);
     void reportLoad(base::time_point now);
--- a/packages/flow/include/oriolehold/flow/packet.h
+++ b/packages/flow/include/oriolehold/flow/packet.h
@@ -42,6 +42,9 @@
         // Returned to the entry instance: the upstream has another service than the tag says and
         // did not get the packet.
         misdirected,
+        // Returned to the entry instance: the upstream has not answered the opening packet so far,
+        // and may still accept it.
+        unanswered,
     };
 
     instruction kind = instruction::none;
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -63,7 +63,7 @@
         return;
     }
     if (head->tag.kind == instruction::absent || head->tag.kind == instruction::refused
-        || head->tag.kind == instruction::misdirected)
+        || head->tag.kind == instruction::unanswered || head->tag.kind == instruction::misdirected)
         receiveReturned(*head, packet, sender, now);
     else
         receiveFromClient(*head, packet, now);
@@ -169,7 +169,8 @@
         ++m_counters.dropped;
         return;
     }
-    const bool refused = head.tag.kind == instruction::refused;
+    const bool refused =
+            head.tag.kind == instruction::refused || head.tag.kind == instruction::unanswered;
     if (known->second.machine != sender) {
         // Another upstream was chosen or claimed the flow in the meantime.
         if (refused)
--- a/packages/flow/src/flow_agent.cpp
+++ b/packages/flow/src/flow_agent.cpp
@@ -332,7 +332,7 @@
                                   .machine = opening.entry.address,
                                   .reason = "the upstream does not answer",
                                   .running = m_load.running() });
-        returnToEntry(opening.entry, instruction::refused, opening.packet);
+        returnToEntry(opening.entry, instruction::unanswered, opening.packet);
     }
 }
 
--- a/packages/flow/src/packet.cpp
+++ b/packages/flow/src/packet.cpp
@@ -54,7 +54,7 @@
 {
     const auto lowBits = static_cast<std::uint32_t>(bits);
     const std::uint32_t kind = lowBits >> instructionShift;
-    if (kind > static_cast<std::uint32_t>(packet_tag::instruction::misdirected))
+    if (kind > static_cast<std::uint32_t>(packet_tag::instruction::unanswered))
         return {};
     return { static_cast<packet_tag::instruction>(kind), lowBits & valueMask,
              static_cast<std::uint8_t>(lowBits >> priorityShift & priorityMask),
--- a/packages/flow/tests/entry_balancer_test.cpp
+++ b/packages/flow/tests/entry_balancer_test.cpp
@@ -337,6 +337,18 @@
     CHECK_EQUAL(0, output.toClients.size());
 }
 
+// Another upstream can still answer before the client retransmits the packet.
+TEST(entry_balancer, UnansweredOpeningPacketGoesToAnotherUpstream)
+{
+    publish(0);
+    receive(opening(), 10);
+    receiveBack(opening(), instruction::unanswered, 72);
+
+    CHECK_EQUAL(2, output.toAgents.size());
+    CHECK_TRUE(output.toAgents[0].machine != output.toAgents[1].machine);
+    CHECK_EQUAL(0, output.toClients.size());
+}
+
 TEST(entry_balancer, OpeningPacketThatAllRefuseIsReset)
 {
     publish(0);
--- a/packages/flow/tests/flow_agent_test.cpp
+++ b/packages/flow/tests/flow_agent_test.cpp
@@ -285,7 +285,8 @@
     CHECK_EQUAL(1, output.sent<flow_claim>().size());
 }
 
-// A crashed upstream does not answer, and the client sends its next copy only after 200 ms.
+// A crashed upstream does not answer, and the client sends its next copy only after 200 ms. A slow
+// one may still accept the flow, so this is no refusal.
 TEST(flow_agent, UnansweredOpeningPacketIsReturned)
 {
     receive(opening(), 0);
@@ -294,7 +295,8 @@
     agent.tick(atMilliseconds(61));
 
     CHECK_EQUAL(1, output.toEntries.size());
-    CHECK_TRUE(output.toEntries[0].head.tag.kind == instruction::refused);
+    CHECK_EQUAL(entry.address, output.toEntries[0].machine);
+    CHECK_TRUE(output.toEntries[0].head.tag.kind == instruction::unanswered);
 }
 
 TEST(flow_agent, AnsweredOpeningPacketIsNotReturned)
--- a/packages/flow/tests/packet_test.cpp
+++ b/packages/flow/tests/packet_test.cpp
@@ -15,6 +15,17 @@
     CHECK_TRUE(unpackTag(pack(tag)) == tag);
 }
 
+// The newest instruction must not be read as an unknown one.
+TEST(packet, EachInstructionUnpacksUnchanged)
+{
+    using enum packet_tag::instruction;
+    for (const auto kind : { deliver, probe, absent, refused, misdirected, unanswered }) {
+        const packet_tag tag { kind, 0xabcdef, 15 };
+        CHECK_TRUE(unpackTag(pack(tag)) == tag);
+    }
+    CHECK_TRUE(unpackTag(0x70000001).kind == none);
+}
+
 // A time that exceeds its field must not change another field.
 TEST(packet, LongTimesAreClampedToTheLargestValue)
 {
