Keep a flow whose request is held from expiring

Callers would lose a request: an agent discarded the held packets of a flow that was not open yet when no packet of its client had come for 5 s. A request is held for up to 0.45 of its timeout, which is longer for timeouts above 11.1 s.

Cause: the silence of the client, which waits for the answer to the held request, was taken as the end of the flow.

Evidence: FlowWithAHeldRequestDoesNotExpire fails on the former code ("expected <40001> but was <3>": the held request never reaches the upstream). A client that retransmits in the meantime, at most 1.6 s apart, keeps the flow; so callers would only see it with such packets lost or sent elsewhere.

Why this works: a flow does not expire while it has a held request. The queue releases each one by its time limit, so the exemption ends.

--- a/packages/flow/src/flow_agent.cpp
+++ b/packages/flow/src/flow_agent.cpp
@@ -353,11 +353,11 @@
             m_load.abandon(now);
             state.requestAt = {};
         }
-        const bool expired = now - state.lastSeen > (state.open ? openLifetime : unopenedLifetime);
+        // A held request is released in time, and its flow may be open at the upstream then.
+        const bool expired = !m_holdQueue.holds(item.first)
+                && now - state.lastSeen > (state.open ? openLifetime : unopenedLifetime);
         if (expired && state.open)
             --m_openFlows;
-        if (expired)
-            m_holdQueue.discard(item.first);
         return expired;
     });
     boost::unordered::erase_if(m_entries, [&](const auto &item) {
--- a/packages/flow/tests/flow_agent_test.cpp
+++ b/packages/flow/tests/flow_agent_test.cpp
@@ -529,6 +529,27 @@
     CHECK_EQUAL(1, agent.load().running());
 }
 
+// A request may be held for longer than an unopened flow lives without a packet of its client.
+TEST(flow_agent, FlowWithAHeldRequestDoesNotExpire)
+{
+    sendHello(1, 2);
+    for (std::uint16_t port = 1; port <= 3; ++port)
+        request(port, port);
+    receive(opening(), 10);
+    packet_head head = fromUpstream();
+    head.opens = true;
+    answer(head, 10);
+    head = fromClient(instruction::deliver, 200);
+    head.tag.timeout = std::chrono::milliseconds { 30'000 };
+    receive(head, 10);
+    agent.tick(atMilliseconds(2000));
+    CHECK_EQUAL(3, portsOfRequests().size());
+    agent.tick(atMilliseconds(5500));
+    agent.tick(atMilliseconds(5501));
+
+    CHECK_EQUAL(client.port, portsOfRequests().back());
+}
+
 TEST(flow_agent, SummariesAreForwardedToOtherEntryInstances)
 {
     sendHello();
