Give the upstream its time again after a stall of its agent

Callers would see new flows moved away from a sound upstream, and an open flow could be reset: after a stall an agent returned opening packets as unanswered and reported its upstream as unresponsive, though the answers waited in its socket. An unresponsive upstream gets no new flows while others are left, and an unlisted one need not deny a flow before its client is reset.

Cause: the time-outs run on while the process does not, and the agent performs due actions after one batch of datagrams per socket.

Evidence: StalledAgentDoesNotCountUnreadAnswersAsSilence fails on the former code ("expected <0> but was <2>": both opening packets are returned after a stall of 500 ms).

Why this works: a call of tick() that comes more than 20 ms later than requested restarts the waits for opening packets and probes; meanwhile the process reads its sockets. An upstream that is really silent is reported 60 ms later. A stall that delays no due action by more than 20 ms is not noticed; with more than one batch of unread answers it still counts as silence.

--- a/packages/flow/include/oriolehold/flow/flow_agent.h
+++ b/packages/flow/include/oriolehold/flow/flow_agent.h
@@ -58,7 +58,8 @@
                           base::time_point now);
     void receiveFromUpstream(base::byte_view packet, base::time_point now);
     void receiveMessage(std::uint32_t machine, const peer_message &message, base::time_point now);
-    // Performs the actions that are due and returns the time until the next call.
+    // Performs the actions that are due and returns the time until the next call. A late call
+    // counts as a stall of the process.
     base::duration tick(base::time_point now);
 
     const load_meter &load() const { return m_load; }
@@ -85,6 +86,12 @@
         std::uint64_t bootId = 0;
         base::time_point lastHelloAt {};
     };
+    // A probe that a running upstream returns or answers.
+    struct pending_probe
+    {
+        base::time_point deliveredAt {};
+        base::time_point dueAt {};
+    };
     // An opening packet without an answer of the upstream so far.
     struct pending_opening
     {
@@ -126,6 +133,8 @@
     void claimAllFlows(std::uint32_t machine);
     // Counts probes after which the upstream has sent nothing.
     void countUnansweredProbes(base::time_point now);
+    // Gives the upstream the full time again for the packets that it has not answered.
+    void extendWaits(base::time_point now);
     // Returns opening packets that the upstream has not answered in time.
     void returnUnansweredOpenings(base::time_point now);
     void expire(base::time_point now);
@@ -141,8 +150,8 @@
     std::size_t m_openFlows = 0;
     boost::unordered_flat_map<std::uint32_t, known_entry> m_entries; // by machine address
     std::vector<base::endpoint> m_entryEndpoints; // by the index in the tags of packets
-    std::deque<base::time_point> m_probes; // delivery times of probes that need an answer, in order
-    std::deque<pending_opening> m_openings; // in the order of their times
+    std::deque<pending_probe> m_probes;           // in the order of their times
+    std::deque<pending_opening> m_openings;       // in the order of their times
     base::time_point m_lastUpstreamPacketAt {};
     std::uint32_t m_unanswered = 0; // packets without an answer since then
     load_meter m_load;
@@ -150,6 +159,7 @@
     view_exchange m_view;
     base::time_point m_nextReport {};
     base::time_point m_nextExpiry {};
+    base::time_point m_nextTick {}; // when the next call of tick() is due
     base::byte_vector m_scratch;
     agent_counters m_counters;
 };
--- a/packages/flow/src/flow_agent.cpp
+++ b/packages/flow/src/flow_agent.cpp
@@ -18,6 +18,9 @@
 // stalled, and another upstream can still answer before the client retransmits the packet after
 // 200 ms.
 constexpr base::duration openingTimeout = 60ms;
+// A later call of tick() means that the process has stalled, and that answers of the upstream may
+// wait in its socket.
+constexpr base::duration stallTime = 20ms;
 // Unanswered packets until the upstream is reported as unresponsive. A single one may be lost.
 constexpr std::uint32_t unresponsiveAfter = 2;
 // Six missed hellos.
@@ -95,7 +98,7 @@
         m_output.sendMessage(entry.address, flow_claim { { key } });
     // A bare acknowledgement of a flow that the upstream holds is not answered.
     if (isProbe && added && head->payloadSize > 0)
-        m_probes.push_back(now);
+        m_probes.push_back({ now, now + probeTimeout });
     if (head->isOpening() && added)
         m_openings.push_back(
                 { key, entry, now + openingTimeout, { packet.begin(), packet.end() } });
@@ -338,13 +341,23 @@
 
 void flow_agent::countUnansweredProbes(base::time_point now)
 {
-    while (!m_probes.empty() && m_probes.front() + probeTimeout <= now) {
-        if (m_lastUpstreamPacketAt <= m_probes.front())
+    while (!m_probes.empty() && m_probes.front().dueAt <= now) {
+        if (m_lastUpstreamPacketAt <= m_probes.front().deliveredAt)
             ++m_unanswered;
         m_probes.pop_front();
     }
 }
 
+void flow_agent::extendWaits(base::time_point now)
+{
+    std::ranges::for_each(m_probes, [&](pending_probe &item) {
+        item.dueAt = std::max(item.dueAt, now + probeTimeout);
+    });
+    std::ranges::for_each(m_openings, [&](pending_opening &item) {
+        item.returnAt = std::max(item.returnAt, now + openingTimeout);
+    });
+}
+
 void flow_agent::expire(base::time_point now)
 {
     boost::unordered::erase_if(m_flows, [&](auto &item) {
@@ -381,6 +394,8 @@
 
 base::duration flow_agent::tick(base::time_point now)
 {
+    if (m_nextTick != base::time_point {} && now - m_nextTick > stallTime)
+        extendWaits(now);
     countUnansweredProbes(now);
     returnUnansweredOpenings(now);
     releaseHeld(now);
@@ -390,11 +405,12 @@
         expire(now);
     base::time_point next = std::min(m_nextReport, m_nextExpiry);
     if (!m_probes.empty())
-        next = std::min(next, m_probes.front() + probeTimeout);
+        next = std::min(next, m_probes.front().dueAt);
     next = std::min(next, m_holdQueue.next());
     if (!m_openings.empty())
         next = std::min(next, m_openings.front().returnAt);
-    return std::max(next - now, base::duration::zero());
+    m_nextTick = std::max(next, now);
+    return m_nextTick - now;
 }
 
 } // namespace oriolehold::flow
--- a/packages/flow/tests/flow_agent_test.cpp
+++ b/packages/flow/tests/flow_agent_test.cpp
@@ -550,6 +550,31 @@
     CHECK_EQUAL(client.port, portsOfRequests().back());
 }
 
+// The answers of the upstream are still in the socket when the process goes on.
+TEST(flow_agent, StalledAgentDoesNotCountUnreadAnswersAsSilence)
+{
+    sendHello();
+    for (std::uint16_t port = 1; port <= 2; ++port) {
+        packet_head head = opening();
+        head.source.port = port;
+        receive(head, 0);
+    }
+    agent.tick(atMilliseconds(0));
+    agent.tick(atMilliseconds(500));
+    CHECK_EQUAL(0, output.toEntries.size());
+    CHECK_TRUE(output.sent<load_report>().back().responsive);
+    packet_head reply = fromUpstream();
+    reply.opens = true;
+    reply.destination.port = 1;
+    answer(reply, 501);
+    agent.tick(atMilliseconds(559));
+    CHECK_EQUAL(0, output.toEntries.size());
+    agent.tick(atMilliseconds(561));
+
+    CHECK_EQUAL(1, output.toEntries.size());
+    CHECK_EQUAL(2, output.toEntries[0].head.source.port);
+}
+
 TEST(flow_agent, SummariesAreForwardedToOtherEntryInstances)
 {
     sendHello();
