Hold a request only if its flow is, or opens, at the own upstream

Callers would see an open flow stand still, and then its packets arrive together at another upstream: when two upstreams answer copies of an opening packet and an entry instance forwards the flow to the one that the client did not take, that agent held the request while its upstream was busy, for up to 0.45 of the route's timeout. The packets came back as absent only after that.

Cause: an answer of the upstream to the opening packet was taken as a sign that the flow is there.

Evidence: RequestThatAcknowledgesAnotherUpstreamIsNotHeld fails on the former code ("expected <4> but was <3>"). RequestThatAcknowledgesTheUpstreamIsHeld passes on it and guards the other side, across the wrap of sequence numbers.

Why this works: the client's acknowledgement number tells which answer it took. Before the upstream has sent another packet of the flow, a request is held only if its acknowledgement is within 19,200 bytes after the sequence number of the upstream's answer; otherwise the upstream gets and returns it at once, and the entry instance searches. Of other upstreams' random numbers 1 in 220,000 lies in that range; such a request is held as before.

The sed expression of probes-are-held follows the renamed condition.

--- a/packages/flow/include/oriolehold/flow/flow_agent.h
+++ b/packages/flow/include/oriolehold/flow/flow_agent.h
@@ -74,6 +74,7 @@
         base::time_point requestAt {}; // delivery of the running request; epoch: none is running
         base::duration held {};        // time that the running request was held
         std::uint32_t requestSequence = 0; // end of the data delivered so far; 0: none
+        std::uint32_t openingSequence = 0; // of the answer to the opening packet
         std::uint8_t priority = 0;         // of the running request
         bool open = false;
         bool answered = false; // the upstream has sent a packet of the flow
@@ -110,6 +111,8 @@
     void receiveReturned(const packet_head &head, base::byte_view packet, base::time_point now);
     // Whether the packet begins a new request rather than repeats or continues one.
     static bool beginsRequest(const flow_state &state, const packet_head &head);
+    // Whether the packet belongs to a flow that the upstream holds, or opens one there.
+    static bool holdsFlow(const flow_state &state, const packet_head &head);
     // Constraints of a request whose first packet arrives now.
     request_constraints constraintsOf(const flow_state &state, const packet_tag &tag,
                                       base::time_point now) const;
--- a/packages/flow/src/flow_agent.cpp
+++ b/packages/flow/src/flow_agent.cpp
@@ -37,6 +37,8 @@
 // A request is held for at most this fraction of its timeout. After half of the timeout, another
 // upstream may serve its client better.
 constexpr double maxHoldFraction = 0.45;
+// Data that an upstream sends before the client has acknowledged any: 16 packets of 1,200 bytes.
+constexpr std::uint32_t maxBytesInFlight = 19'200;
 // A request without an answer counts as running for at most this time.
 constexpr base::duration requestLifetime = 3s;
 
@@ -115,6 +117,14 @@
     && (state.requestSequence == 0 || static_cast<std::int32_t>(end - state.requestSequence) > 0);
 }
 
+bool flow_agent::holdsFlow(const flow_state &state, const packet_head &head)
+{
+    if (!state.answered || state.open)
+        return state.open;
+    // The acknowledgement tells which upstream's answer to its opening packets the client took.
+    return head.acknowledgement - state.openingSequence <= maxBytesInFlight;
+}
+
 request_constraints flow_agent::constraintsOf(const flow_state &state, const packet_tag &tag,
                                               base::time_point now) const
 {
@@ -149,7 +159,8 @@
     const bool alreadyHeld = m_holdQueue.holds(key);
     const bool begins = !alreadyHeld && beginsRequest(state, head);
     const bool mustHold = alreadyHeld
-            || (begins && mayHold && state.answered && m_holdQueue.mustHold(m_load.running()));
+            || (begins && mayHold && holdsFlow(state, head)
+                && m_holdQueue.mustHold(m_load.running()));
     if (head.payloadSize > 0 && mustHold) {
         m_counters.held += begins ? 1 : 0;
         m_holdQueue.hold(key, constraintsOf(state, head.tag, now), head.sequence, m_scratch, now);
@@ -206,6 +217,8 @@
     flow_state &state = m_flows[key];
     state.lastSeen = now;
     state.answered = true;
+    if (head->opens)
+        state.openingSequence = head->sequence;
     if (!head->opens && !head->resets && !state.open)
         markOpen(key, state, "the upstream sent a packet");
     if ((head->payloadSize > 0 || head->resets || head->finishes)
--- a/packages/flow/tests/flow_agent_test.cpp
+++ b/packages/flow/tests/flow_agent_test.cpp
@@ -575,6 +575,48 @@
     CHECK_EQUAL(2, output.toEntries[0].head.source.port);
 }
 
+// The client has taken the answer of another upstream, so this one holds no flow to keep waiting.
+TEST(flow_agent, RequestThatAcknowledgesAnotherUpstreamIsNotHeld)
+{
+    sendHello(1, 2);
+    for (std::uint16_t port = 1; port <= 3; ++port)
+        request(port, port);
+    receive(opening(), 10);
+    packet_head head = fromUpstream();
+    head.opens = true;
+    head.sequence = 5000;
+    answer(head, 10);
+    head = fromClient(instruction::deliver, 200);
+    head.acknowledgement = 70'000;
+    receive(head, 11);
+
+    CHECK_EQUAL(4, portsOfRequests().size());
+    CHECK_EQUAL(client.port, portsOfRequests().back());
+}
+
+TEST(flow_agent, RequestThatAcknowledgesTheUpstreamIsHeld)
+{
+    sendHello(1, 2);
+    for (std::uint16_t port = 1; port <= 3; ++port)
+        request(port, port);
+    for (const std::uint32_t distance : { 0U, 1U }) {
+        packet_head head = opening();
+        head.source.port = static_cast<std::uint16_t>(10 + distance);
+        receive(head, 10);
+        head = fromUpstream();
+        head.destination.port = static_cast<std::uint16_t>(10 + distance);
+        head.opens = true;
+        head.sequence = 0xffffffff;
+        answer(head, 10);
+        head = fromClient(instruction::deliver, 200);
+        head.source.port = static_cast<std::uint16_t>(10 + distance);
+        head.acknowledgement = 0xffffffff + distance;
+        receive(head, 11);
+    }
+
+    CHECK_EQUAL(3, portsOfRequests().size());
+}
+
 TEST(flow_agent, SummariesAreForwardedToOtherEntryInstances)
 {
     sendHello();
--- a/scripts/flow_mutants.sh
+++ b/scripts/flow_mutants.sh
@@ -21,7 +21,7 @@
     "silence-is-claimed|src/flow_agent.cpp|s/if (isProbe \&\& state.open)/if (isProbe)/"
     "opening-answer-is-claimed|src/flow_agent.cpp|s/if (!head->opens \&\& !head->resets/if (!head->resets/"
     "misdirected-is-a-denial|src/entry_balancer.cpp|s/if (head.tag.kind == instruction::misdirected \&\& mayServe/if (false \&\& mayServe/"
-    "probes-are-held|src/flow_agent.cpp|s/begins \&\& mayHold \&\& state.answered \&\& m_holdQueue/begins \&\& m_holdQueue/"
+    "probes-are-held|src/flow_agent.cpp|s/begins \&\& mayHold \&\& holdsFlow(state, head)/begins/"
 )
 
 compile()
