--- a/packages/flow/include/oriolehold/flow/flow_agent.h
+++ b/packages/flow/include/oriolehold/flow/flow_agent.h
@@ -58,7 +58,8 @@
                           base::time_point now);
     void receiveFromUpstream(base::byte_view packet, base::time_point now);
     void receiveMessage(std::uint32_t machine, const peer_message &message, base::time_point now);
-    // Performs the actions that are due and returns the time until the next call.
+    // Performs the actions that are due and returns the time until the next call. A late call
+    // counts as a stall of the process.
     base::duration tick(base::time_point now);
 
     const load_meter &load() const { return m_load; }
@@ -73,19 +74,24 @@
         base::time_point requestAt {}; // delivery of the running request; epoch: none is running
         base::duration held {};        // time that the running request was held
         std::uint32_t requestSequence = 0; // end of the data delivered so far; 0: none
+        std::uint32_t openingSequence = 0; // of the answer to the opening packet
         std::uint8_t priority = 0;         // of the running request
         bool open = false;
         bool answered = false; // the upstream has sent a packet of the flow
+
+        // Whether the upstream has accepted an opening packet or got data of the flow.
+        bool mayBeOpen() const { return open || answered || requestSequence != 0; }
     };
     struct known_entry
     {
         std::uint64_t bootId = 0;
         base::time_point lastHelloAt {};
     };
+    // A probe that a running upstream returns or answers.
     struct pending_probe
     {
-        flow_key key;
         base::time_point deliveredAt {};
+        base::time_point dueAt {};
     };
     // An opening packet without an answer of the upstream so far.
     struct pending_opening
@@ -105,14 +111,19 @@
     void receiveReturned(const packet_head &head, base::byte_view packet, base::time_point now);
     // Whether the packet begins a new request rather than repeats or continues one.
     static bool beginsRequest(const flow_state &state, const packet_head &head);
+    // Whether the packet belongs to a flow that the upstream holds, or opens one there.
+    static bool holdsFlow(const flow_state &state, const packet_head &head);
     // Constraints of a request whose first packet arrives now.
     request_constraints constraintsOf(const flow_state &state, const packet_tag &tag,
                                       base::time_point now) const;
     void beginRequest(flow_state &state, std::uint8_t priority, base::duration held,
                       base::time_point now);
-    // Sends the packet to the upstream, or holds it while the upstream is busy.
+    // Sends the packet to the upstream, or holds it while the upstream is busy. A probe is not held
+    // and releases the held packets of its flow before it.
     void deliver(const flow_key &key, flow_state &state, const packet_head &head,
                  base::time_point now);
+    // Sends the released packets of a request to the upstream.
+    hold_queue::release_handler releaseHandler(base::time_point now);
     void releaseHeld(base::time_point now);
     void returnToEntry(const base::endpoint &entry, packet_tag::instruction kind,
                        base::byte_view packet);
@@ -123,9 +134,11 @@
     void broadcastClaim(const flow_claim &claim);
     // Sends claims of all open flows to the entry instance on the machine.
     void claimAllFlows(std::uint32_t machine);
-    // Marks flows as open whose probes a running upstream has not returned in time.
-    void claimUnreturnedProbes(base::time_point now);
-    // Refuses opening packets that the upstream has not answered in time.
+    // Counts probes after which the upstream has sent nothing.
+    void countUnansweredProbes(base::time_point now);
+    // Gives the upstream the full time again for the packets that it has not answered.
+    void extendWaits(base::time_point now);
+    // Returns opening packets that the upstream has not answered in time.
     void returnUnansweredOpenings(base::time_point now);
     void expire(base::time_point now);
     void reportLoad(base::time_point now);
@@ -149,6 +162,7 @@
     view_exchange m_view;
     base::time_point m_nextReport {};
     base::time_point m_nextExpiry {};
+    base::time_point m_nextTick {}; // when the next call of tick() is due
     base::byte_vector m_scratch;
     agent_counters m_counters;
 };
--- a/packages/flow/src/flow_agent.cpp
+++ b/packages/flow/src/flow_agent.cpp
@@ -10,17 +10,17 @@
 using namespace std::chrono_literals;
 using instruction = packet_tag::instruction;
 
-// The upstream is on the same machine and returns a packet of an unknown flow at once. If it runs,
-// it has accepted a packet that it has not returned after this time.
-constexpr base::duration probeTimeout = 30ms;
-// Time that the upstream needs to process a probe. A packet that it sends later shows that it runs
-// and has processed the probe.
-constexpr base::duration probeProcessingTime = 2ms;
+// An upstream returns a data packet of an unknown flow at once, and acknowledges one of its own
+// flows at the latest when the client's copy arrives after 200 ms.
+constexpr base::duration probeTimeout = 1s;
 constexpr base::duration reportInterval = 200ms;
 // An upstream answers an opening packet within milliseconds. One that takes longer has crashed or
 // stalled, and another upstream can still answer before the client retransmits the packet after
 // 200 ms.
 constexpr base::duration openingTimeout = 60ms;
+// A later call of tick() means that the process has stalled, and that answers of the upstream may
+// wait in its socket.
+constexpr base::duration stallTime = 20ms;
 // Unanswered packets until the upstream is reported as unresponsive. A single one may be lost.
 constexpr std::uint32_t unresponsiveAfter = 2;
 // Six missed hellos.
@@ -37,6 +37,8 @@
 // A request is held for at most this fraction of its timeout. After half of the timeout, another
 // upstream may serve its client better.
 constexpr double maxHoldFraction = 0.45;
+// Data that an upstream sends before the client has acknowledged any: 16 packets of 1,200 bytes.
+constexpr std::uint32_t maxBytesInFlight = 19'200;
 // A request without an answer counts as running for at most this time.
 constexpr base::duration requestLifetime = 3s;
 
@@ -96,8 +98,9 @@
     }
     if (isProbe && state.open)
         m_output.sendMessage(entry.address, flow_claim { { key } });
-    if (isProbe && added)
-        m_probes.push_back({ key, now });
+    // A bare acknowledgement of a flow that the upstream holds is not answered.
+    if (isProbe && added && head->payloadSize > 0)
+        m_probes.push_back({ now, now + probeTimeout });
     if (head->isOpening() && added)
         m_openings.push_back(
                 { key, entry, now + openingTimeout, { packet.begin(), packet.end() } });
@@ -114,6 +117,14 @@
     && (state.requestSequence == 0 || static_cast<std::int32_t>(end - state.requestSequence) > 0);
 }
 
+bool flow_agent::holdsFlow(const flow_state &state, const packet_head &head)
+{
+    if (!state.answered || state.open)
+        return state.open;
+    // The acknowledgement tells which upstream's answer to its opening packets the client took.
+    return head.acknowledgement - state.openingSequence <= maxBytesInFlight;
+}
+
 request_constraints flow_agent::constraintsOf(const flow_state &state, const packet_tag &tag,
                                               base::time_point now) const
 {
@@ -141,12 +152,15 @@
 void flow_agent::deliver(const flow_key &key, flow_state &state, const packet_head &head,
                          base::time_point now)
 {
+    // Other upstreams get the same probe at once.
+    const bool mayHold = head.tag.kind != instruction::probe;
+    if (!mayHold)
+        m_holdQueue.releaseFlow(key, now, releaseHandler(now));
     const bool alreadyHeld = m_holdQueue.holds(key);
     const bool begins = !alreadyHeld && beginsRequest(state, head);
-    // Only requests of flows that the upstream has answered are held: a held probe would look like
-    // one that the upstream accepted.
-    const bool mustHold =
-            alreadyHeld || (begins && state.answered && m_holdQueue.mustHold(m_load.running()));
+    const bool mustHold = alreadyHeld
+            || (begins && mayHold && holdsFlow(state, head)
+                && m_holdQueue.mustHold(m_load.running()));
     if (head.payloadSize > 0 && mustHold) {
         m_counters.held += begins ? 1 : 0;
         m_holdQueue.hold(key, constraintsOf(state, head.tag, now), head.sequence, m_scratch, now);
@@ -163,21 +177,25 @@
     m_output.sendToUpstream(m_scratch);
 }
 
+hold_queue::release_handler flow_agent::releaseHandler(base::time_point now)
+{
+    return [this, now](const flow_key &key, const hold_queue::release_info &info,
+                       std::span<const base::byte_vector> packets) {
+        const auto found = m_flows.find(key);
+        if (found != m_flows.end())
+            beginRequest(found->second, info.priority, info.held, now);
+        for (const base::byte_vector &packet : packets) {
+            if (const auto head = m_codec.decode(packet); head && found != m_flows.end())
+                found->second.requestSequence = head->sequence + head->payloadSize;
+            m_output.sendToUpstream(packet);
+        }
+    };
+}
+
 void flow_agent::releaseHeld(base::time_point now)
 {
     m_holdQueue.release(
-            now, [this] { return m_load.running(); },
-            [&](const flow_key &key, const hold_queue::release_info &info,
-                std::span<const base::byte_vector> packets) {
-                const auto found = m_flows.find(key);
-                if (found != m_flows.end())
-                    beginRequest(found->second, info.priority, info.held, now);
-                for (const base::byte_vector &packet : packets) {
-                    if (const auto head = m_codec.decode(packet); head && found != m_flows.end())
-                        found->second.requestSequence = head->sequence + head->payloadSize;
-                    m_output.sendToUpstream(packet);
-                }
-            });
+            now, [this] { return m_load.running(); }, releaseHandler(now));
 }
 
 void flow_agent::receiveFromUpstream(base::byte_view packet, base::time_point now)
@@ -199,6 +217,8 @@
     flow_state &state = m_flows[key];
     state.lastSeen = now;
     state.answered = true;
+    if (head->opens)
+        state.openingSequence = head->sequence;
     if (!head->opens && !head->resets && !state.open)
         markOpen(key, state, "the upstream sent a packet");
     if ((head->payloadSize > 0 || head->resets || head->finishes)
@@ -232,21 +252,25 @@
     }
     const base::endpoint entry = m_entryEndpoints[head.tag.value];
     const bool refused = head.isOpening();
+    const auto found = m_flows.find(key);
+    const bool claimed = found != m_flows.end() && found->second.open;
     ++(refused ? m_counters.refused : m_counters.absent);
     m_observer.decisionMade(
             { .kind = refused ? decision_kind::openingRefused : decision_kind::flowAbsent,
               .flow = key,
               .machine = entry.address,
               .running = m_load.running() });
-    removeFlow(key, now);
+    // A refused copy of an opening packet tells nothing of a flow that another copy has opened.
+    if (!refused || (found != m_flows.end() && !found->second.mayBeOpen()))
+        removeFlow(key, now);
     if (refused)
         std::erase_if(m_openings, [&](const pending_opening &item) { return item.key == key; });
-    if (refused)
-        returnToEntry(entry, instruction::refused, packet);
-    else if (head.tag.kind == instruction::probe)
+    const bool isProbe = head.tag.kind == instruction::probe;
+    if (!refused && isProbe)
         m_output.sendMessage(entry.address, flow_denial { key, m_serviceDigest });
-    else
-        returnToEntry(entry, instruction::absent, packet);
+    // A claim answered the probe of a claimed flow, so the search has ended and must begin again.
+    if (refused || !isProbe || claimed)
+        returnToEntry(entry, refused ? instruction::refused : instruction::absent, packet);
 }
 
 void flow_agent::removeFlow(const flow_key &key, base::time_point now)
@@ -324,27 +348,29 @@
                                   .machine = opening.entry.address,
                                   .reason = "the upstream does not answer",
                                   .running = m_load.running() });
-        returnToEntry(opening.entry, instruction::refused, opening.packet);
+        returnToEntry(opening.entry, instruction::unanswered, opening.packet);
     }
 }
 
-void flow_agent::claimUnreturnedProbes(base::time_point now)
+void flow_agent::countUnansweredProbes(base::time_point now)
 {
-    while (!m_probes.empty() && m_probes.front().deliveredAt + probeTimeout <= now) {
-        const pending_probe probe = m_probes.front();
-        m_probes.pop_front();
-        const auto found = m_flows.find(probe.key);
-        // A returned packet removes its flow.
-        if (found == m_flows.end() || found->second.open)
-            continue;
-        // An upstream that crashed returns nothing and holds nothing.
-        if (m_lastUpstreamPacketAt > probe.deliveredAt + probeProcessingTime)
-            markOpen(probe.key, found->second, "the upstream did not return a probe");
-        else
+    while (!m_probes.empty() && m_probes.front().dueAt <= now) {
+        if (m_lastUpstreamPacketAt <= m_probes.front().deliveredAt)
             ++m_unanswered;
+        m_probes.pop_front();
     }
 }
 
+void flow_agent::extendWaits(base::time_point now)
+{
+    std::ranges::for_each(m_probes, [&](pending_probe &item) {
+        item.dueAt = std::max(item.dueAt, now + probeTimeout);
+    });
+    std::ranges::for_each(m_openings, [&](pending_opening &item) {
+        item.returnAt = std::max(item.returnAt, now + openingTimeout);
+    });
+}
+
 void flow_agent::expire(base::time_point now)
 {
     boost::unordered::erase_if(m_flows, [&](auto &item) {
@@ -353,11 +379,11 @@
             m_load.abandon(now);
             state.requestAt = {};
         }
-        const bool expired = now - state.lastSeen > (state.open ? openLifetime : unopenedLifetime);
+        // A held request is released in time, and its flow may be open at the upstream then.
+        const bool expired = !m_holdQueue.holds(item.first)
+                && now - state.lastSeen > (state.open ? openLifetime : unopenedLifetime);
         if (expired && state.open)
             --m_openFlows;
-        if (expired)
-            m_holdQueue.discard(item.first);
         return expired;
     });
     boost::unordered::erase_if(m_entries, [&](const auto &item) {
@@ -381,7 +407,9 @@
 
 base::duration flow_agent::tick(base::time_point now)
 {
-    claimUnreturnedProbes(now);
+    if (m_nextTick != base::time_point {} && now - m_nextTick > stallTime)
+        extendWaits(now);
+    countUnansweredProbes(now);
     returnUnansweredOpenings(now);
     releaseHeld(now);
     if (now >= m_nextReport)
@@ -390,11 +418,12 @@
         expire(now);
     base::time_point next = std::min(m_nextReport, m_nextExpiry);
     if (!m_probes.empty())
-        next = std::min(next, m_probes.front().deliveredAt + probeTimeout);
+        next = std::min(next, m_probes.front().dueAt);
     next = std::min(next, m_holdQueue.next());
     if (!m_openings.empty())
         next = std::min(next, m_openings.front().returnAt);
-    return std::max(next - now, base::duration::zero());
+    m_nextTick = std::max(next, now);
+    return m_nextTick - now;
 }
 
 } // namespace oriolehold::flow
