Do not reset a client whose opening packet an upstream has not answered yet

What callers would see: a client is reset although an upstream that was only slow accepts its flow, which may be open by the time the reset arrives when its packets pass another entry instance.

Cause: a time-out of 60 ms at an agent counted as a refusal by the upstream, and three refusals as the proof that the flow can be reset.

Failed before: OpeningPacketThatAnUpstreamHasNotAnsweredIsNotReset (1 reset). The packet is placed elsewhere as before; if none of the tried upstreams accepts and one of them has not answered, the packet is dropped, and the client's next copy is placed.

--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -96,8 +96,10 @@
         // Of the upstream's service when the flow was placed or claimed. The address may serve
         // another service since then.
         std::uint32_t serviceDigest = 0;
-        std::uint8_t refusals = 0; // of the opening packet
-        bool confirmed = false;    // an agent claimed the flow
+        std::uint8_t refusals = 0; // of the opening packet, and returns without an answer
+        bool mayBeAccepted =
+                false;          // by an upstream that has not answered the opening packet in time
+        bool confirmed = false; // an agent claimed the flow
     };
     struct candidate
     {
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -115,7 +115,9 @@
     auto candidates = m_directory.eligible(chooseService(route, key));
     known_upstream *chosen = m_policy.choose(candidates, m_identity.zone, now);
     if (chosen == nullptr) {
-        resetOrDrop(head, "no upstream accepts flows", !m_directory.empty(), now);
+        const auto known = m_owners.find(key);
+        const bool mayBeAccepted = known != m_owners.end() && known->second.mayBeAccepted;
+        resetOrDrop(head, "no upstream accepts flows", !m_directory.empty() && !mayBeAccepted, now);
         return;
     }
     ++chosen->assignedSinceReport;
@@ -201,12 +203,15 @@
     const auto known = m_owners.find(keyOfClientPacket(head));
     if (known_upstream *upstream = m_directory.find(known->second.machine))
         upstream->avoidUntil = now + refusalAvoidance;
+    if (head.tag.kind == instruction::unanswered)
+        known->second.mayBeAccepted = true;
     if (++known->second.refusals < maxRefusals) {
         placeFlow(head, packet, route, now);
         return;
     }
+    const bool certain = !known->second.mayBeAccepted;
     m_owners.erase(known);
-    resetOrDrop(head, "refused by the upstreams", true, now);
+    resetOrDrop(head, "refused by the upstreams", certain, now);
 }
 
 void entry_balancer::receiveMessage(std::uint32_t machine, const peer_message &message,
--- a/packages/flow/tests/entry_balancer_test.cpp
+++ b/packages/flow/tests/entry_balancer_test.cpp
@@ -515,6 +515,20 @@
     CHECK_EQUAL(1, output.toClients.size());
 }
 
+// An upstream that was only slow may accept the flow after its time-out; a reset would break the
+// flow.
+TEST(entry_balancer, OpeningPacketThatAnUpstreamHasNotAnsweredIsNotReset)
+{
+    publish(0);
+    receive(opening(), 10);
+    receiveBack(opening(), instruction::unanswered, 70);
+    receiveBack(opening(), instruction::refused, 72);
+    receiveBack(opening(), instruction::refused, 74);
+
+    CHECK_EQUAL(0, output.toClients.size());
+    CHECK_EQUAL(0, balancer.knownFlows());
+}
+
 // Another upstream may have accepted another copy; a reset would break that flow.
 TEST(entry_balancer, LaterCopyThatAllRefuseIsNotReset)
 {
