Do not claim ended flows to restarted entry instances

What callers saw: after a restart of an entry instance its table lacked flows that agents had claimed, so that their packets were searched.

Cause: agents kept flows as open for 65 s after both ends had closed them and claimed all of them on a first hello.

An agent now sees that both ends have sent the end of the flow.

Failed before: RestartedEntryInstanceReceivesNoClaimsOfEndedFlows (1 open flow instead of 0).

--- a/packages/flow/include/oriolehold/flow/flow_agent.h
+++ b/packages/flow/include/oriolehold/flow/flow_agent.h
@@ -78,6 +78,10 @@
         std::uint8_t priority = 0;         // of the running request
         bool open = false;
         bool answered = false; // the upstream has sent a packet of the flow
+        bool finishedByClient = false;
+        bool finishedByUpstream = false;
+
+        bool ended() const { return finishedByClient && finishedByUpstream; }
 
         // Whether the upstream has accepted an opening packet or got data of the flow.
         bool mayBeOpen() const { return open || answered || requestSequence != 0; }
@@ -132,6 +136,8 @@
     // Removes the flow with its running or held request.
     void removeFlow(const flow_key &key, base::time_point now);
     void broadcastClaim(const flow_claim &claim);
+    // An ended flow is claimed to instances that search it, and to no others.
+    void closeIfEnded(flow_state &state);
     // Sends claims of all open flows to the entry instance on the machine.
     void claimAllFlows(std::uint32_t machine);
     // Counts probes after which the upstream has sent nothing.
--- a/packages/flow/src/flow_agent.cpp
+++ b/packages/flow/src/flow_agent.cpp
@@ -96,8 +96,10 @@
                 std::min<std::size_t>(head->retransmitCount(), retransmitTimes.size() - 1);
         state.openingAt = now - retransmitTimes[retransmits];
     }
-    if (isProbe && state.open)
+    if (isProbe && (state.open || state.ended()))
         m_output.sendMessage(entry.address, flow_claim { { key } });
+    state.finishedByClient = state.finishedByClient || head->finishes;
+    closeIfEnded(state);
     // A bare acknowledgement of a flow that the upstream holds is not answered.
     if (isProbe && added && head->payloadSize > 0)
         m_probes.push_back({ now, now + probeTimeout });
@@ -219,7 +221,9 @@
     state.answered = true;
     if (head->opens)
         state.openingSequence = head->sequence;
-    if (!head->opens && !head->resets && !state.open)
+    state.finishedByUpstream = state.finishedByUpstream || head->finishes;
+    closeIfEnded(state);
+    if (!head->opens && !head->resets && !state.open && !state.ended())
         markOpen(key, state, "the upstream sent a packet");
     if ((head->payloadSize > 0 || head->resets || head->finishes)
         && state.requestAt != base::time_point {}) {
@@ -293,6 +297,14 @@
         m_output.sendMessage(machine, claim);
 }
 
+void flow_agent::closeIfEnded(flow_state &state)
+{
+    if (!state.open || !state.ended())
+        return;
+    state.open = false;
+    --m_openFlows;
+}
+
 void flow_agent::claimAllFlows(std::uint32_t machine)
 {
     flow_claim claim;
--- a/packages/flow/tests/flow_agent_test.cpp
+++ b/packages/flow/tests/flow_agent_test.cpp
@@ -272,6 +272,27 @@
     CHECK_EQUAL(1, output.toClients.size());
 }
 
+// Claims of ended flows multiply what a restarted instance must receive at once, and some get lost.
+TEST(flow_agent, RestartedEntryInstanceReceivesNoClaimsOfEndedFlows)
+{
+    sendHello(1);
+    receive(opening(), 0);
+    answer(fromUpstream(100), 1);
+    packet_head last = fromClient();
+    last.finishes = true;
+    receive(last, 2);
+    CHECK_EQUAL(1, agent.openFlows());
+    last = fromUpstream();
+    last.finishes = true;
+    answer(last, 3);
+    answer(fromUpstream(), 4);
+    CHECK_EQUAL(0, agent.openFlows());
+    output.messages.clear();
+    sendHello(2);
+
+    CHECK_EQUAL(0, output.sent<flow_claim>().size());
+}
+
 TEST(flow_agent, RestartedEntryInstanceReceivesClaimsOfAllFlows)
 {
     sendHello(1);
