Spread the first hellos of an entry instance

Cause: an entry instance greeted all agents at once, and each answers with claims of all its flows.

Failed before: FirstHellosOfALargeServiceAreSpread (49 hellos at once).

--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -161,7 +161,10 @@
     flow_decision describe(decision_kind kind, const flow_key &key, const search &state,
                            base::time_point now) const;
     void expireOwners(base::time_point now);
+    void sendHello(std::uint32_t machine);
     void sendHellos(base::time_point now);
+    // Sends the next of the hellos to the upstreams of the first list.
+    void sendFirstHellos(base::time_point now);
     const std::string &chooseService(const flow_route &route, const flow_key &key) const;
 
     const entry_identity m_identity;
@@ -180,7 +183,8 @@
     base::time_point m_nextSeedRequest {};
     base::time_point m_nextExpiry {};
     base::time_point m_nextSearchUpdate {};
-    base::time_point m_firstHelloAt {};
+    std::vector<std::uint32_t> m_firstHellos;  // machines of the first list without a hello so far
+    base::time_point m_firstHelloAt {};        // when the last of them was sent
     base::time_point m_unlistedAgentSeenAt {}; // last message of an agent not in the directory
     base::time_point m_lastListAt {};          // arrival of the last list, read by any instance
     bool m_searchNeedsRead = false;            // a search waits for a newer list
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -1,6 +1,7 @@
 #include "oriolehold/flow/entry_balancer.h"
 
 #include <algorithm>
+#include <span>
 
 namespace oriolehold::flow {
 
@@ -11,6 +12,9 @@
 
 // Agents remove an entry instance after several missed hellos.
 constexpr base::duration helloInterval = 500ms;
+// The first hellos go out in steps, because each agent answers with claims of all its flows.
+constexpr std::size_t hellosPerStep = 8;
+constexpr base::duration helloStepInterval = 5ms;
 // Wait for the claims that agents send in answer to the first hello. A round trip takes a few
 // milliseconds, so the wait covers a lost datagram.
 constexpr base::duration initialClaimsTime = 150ms;
@@ -277,7 +281,9 @@
         m_observer.directoryChanged(change);
     });
     if (first)
-        sendHellos(now);
+        m_firstHellos = m_directory.machines();
+    if (first)
+        sendFirstHellos(now);
 }
 
 bool entry_balancer::readDue(base::time_point now) const
@@ -310,13 +316,32 @@
     return machines;
 }
 
-void entry_balancer::sendHellos(base::time_point now)
+void entry_balancer::sendHello(std::uint32_t machine)
 {
-    for (const std::uint32_t machine : m_directory.machines()) {
-        const known_upstream *known = m_directory.find(machine);
+    if (const known_upstream *known = m_directory.find(machine))
         m_output.sendMessage(
                 machine, entry_hello { m_identity.bootId, m_identity.zone, known->record.slots });
+}
+
+void entry_balancer::sendFirstHellos(base::time_point now)
+{
+    const std::size_t count = std::min(hellosPerStep, m_firstHellos.size());
+    for (const std::uint32_t machine : std::span(m_firstHellos).last(count))
+        sendHello(machine);
+    m_firstHellos.resize(m_firstHellos.size() - count);
+    m_nextHello = now + (m_firstHellos.empty() ? helloInterval : helloStepInterval);
+    if (count > 0 && m_firstHellos.empty())
+        m_firstHelloAt = now;
+}
+
+void entry_balancer::sendHellos(base::time_point now)
+{
+    if (!m_firstHellos.empty()) {
+        sendFirstHellos(now);
+        return;
     }
+    std::ranges::for_each(m_directory.machines(),
+                          [this](std::uint32_t machine) { sendHello(machine); });
     m_nextHello = now + helloInterval;
     if (m_firstHelloAt == base::time_point {} && !m_directory.empty())
         m_firstHelloAt = now;
--- a/packages/flow/tests/entry_balancer_test.cpp
+++ b/packages/flow/tests/entry_balancer_test.cpp
@@ -98,6 +98,12 @@
             upstreams.upstreams.push_back(record(machine));
         publish(at);
     }
+    std::ptrdiff_t hellos() const
+    {
+        return std::ranges::count_if(output.messages, [](const auto &item) {
+            return std::holds_alternative<entry_hello>(item.second);
+        });
+    }
     std::set<std::uint32_t> probedMachines() const
     {
         std::set<std::uint32_t> machines;
@@ -735,6 +741,19 @@
     CHECK_TRUE(std::holds_alternative<view_request>(output.messages[0].second));
 }
 
+// Every agent answers the first hello with claims of all its flows. If all answer at once, a small
+// machine loses some of them.
+TEST(entry_balancer, FirstHellosOfALargeServiceAreSpread)
+{
+    publishLargeService(0);
+    CHECK_TRUE(hellos() < largeService / 4);
+    for (std::int64_t at = 0; at < 50; at += 5)
+        balancer.tick(atMilliseconds(at));
+    CHECK_EQUAL(largeService, hellos());
+    CHECK_FALSE(balancer.ready(atMilliseconds(160)));
+    CHECK_TRUE(balancer.ready(atMilliseconds(200)));
+}
+
 TEST(entry_balancer, IsReadyOnlyWithRoutesAndAfterTheFirstHellos)
 {
     CHECK_FALSE(balancer.ready(atMilliseconds(0)));
