Probe and await only candidates that may serve the route

What callers would see: a packet of a flow reaches an upstream of another service, when the address of a candidate was reused during the search.

Cause: the candidates of a search stayed as they were when it began; only the digest followed the directory.

Failed before: CandidateThatServesAnotherServiceMeanwhileIsNotProbed (3 probes instead of 2).

--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -155,7 +155,8 @@
     void resetClient(const packet_head &head, std::string_view reason, base::time_point now);
     // Continues all searches and ends those that have a result or have expired.
     void updateSearches(base::time_point now);
-    // Whether no upstream holds the flow, by the answers so far and by the current list.
+    bool mayHoldFlow(const flow_route &route, std::uint32_t machine) const;
+    // Whether no candidate holds the flow, by the answers so far and by the current list.
     bool allDeny(const flow_route &route, const search &state) const;
     // Describes the state of a search in a decision.
     flow_decision describe(decision_kind kind, const flow_key &key, const search &state,
--- a/packages/flow/src/owner_search.cpp
+++ b/packages/flow/src/owner_search.cpp
@@ -55,8 +55,9 @@
                 && now - item.lastProbeAt < probeTimeout;
     };
     const auto isDue = [&](const candidate &item) {
-        return !item.denied && item.lastProbeAt < state.lastPacketAt
-                && m_directory.find(item.machine) != nullptr;
+        const known_upstream *known = m_directory.find(item.machine);
+        return !item.denied && item.lastProbeAt < state.lastPacketAt && known != nullptr
+                && mayServe(route, known->record.service);
     };
     // Upstreams that did not answer an earlier round come last, so that they do not delay the
     // probes of the others.
@@ -186,14 +187,17 @@
         m_nextSearchUpdate = now;
 }
 
+bool entry_balancer::mayHoldFlow(const flow_route &route, std::uint32_t machine) const
+{
+    const known_upstream *known = m_directory.find(machine);
+    return known != nullptr && mayServe(route, known->record.service)
+            && !m_directory.holdsNoFlows(machine);
+}
+
 bool entry_balancer::allDeny(const flow_route &route, const search &state) const
 {
-    const auto owners = m_directory.possibleOwners(route, m_identity.zone);
-    return std::ranges::all_of(owners, [&](std::uint32_t machine) {
-        if (m_directory.holdsNoFlows(machine))
-            return true;
-        const auto found = std::ranges::find(state.candidates, machine, &candidate::machine);
-        return found != state.candidates.end() && found->denied;
+    return std::ranges::none_of(state.candidates, [&](const candidate &item) {
+        return !item.denied && mayHoldFlow(route, item.machine);
     });
 }
 
--- a/packages/flow/tests/entry_balancer_test.cpp
+++ b/packages/flow/tests/entry_balancer_test.cpp
@@ -213,6 +213,21 @@
     CHECK_EQUAL(1, observer.decisions[decision_kind::ownerFound]);
 }
 
+// The address of a candidate may serve another service before the search ends.
+TEST(entry_balancer, CandidateThatServesAnotherServiceMeanwhileIsNotProbed)
+{
+    publish(0);
+    receive(packet(), 10);
+    upstreams.upstreams[1] = record(2, "catalog");
+    upstreams.upstreams[1].incarnation = 9;
+    publish(500);
+    output.toAgents.clear();
+    receive(packet(), 510);
+
+    CHECK_EQUAL(2, output.toAgents.size());
+    CHECK_FALSE(probedMachines().contains(2));
+}
+
 // A client that waits for an answer sends its next packet only after hundreds of milliseconds.
 TEST(entry_balancer, DenialsLetASearchOfALargeServiceContinueWithoutTheClient)
 {
