Stop the wake-ups of a search that a claim ended

Operators would see an entry instance use a full core without traffic: a claim that ended the last search between two of its rounds left the flag of a search in progress set. tick() updates searches only while there are any, so the time of the next update stayed in the past and tick() returned 0 until another search ran to its end.

Evidence: ClaimThatEndsASearchBetweenItsRoundsLeavesNoWakeUp fails without the change.

--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -338,7 +338,9 @@
         sendHellos(now);
     if (now >= m_nextExpiry)
         expireOwners(now);
-    if ((!m_searches.empty() || m_searchNeedsRead) && now >= m_nextSearchUpdate)
+    // A claim may have ended the last search; the update stops the wake-ups.
+    const bool searching = !m_searches.empty() || m_searchNeedsRead || m_searchInProgress;
+    if (searching && now >= m_nextSearchUpdate)
         updateSearches(now);
     if (!m_view.complete() && now >= m_nextSeedRequest) {
         m_nextSeedRequest = now + seedInterval;
--- a/packages/flow/tests/entry_balancer_test.cpp
+++ b/packages/flow/tests/entry_balancer_test.cpp
@@ -276,6 +276,19 @@
     CHECK_TRUE(output.toAgents.back().head.tag.kind == instruction::deliver);
 }
 
+// Otherwise the event loop spins until the next search.
+TEST(entry_balancer, ClaimThatEndsASearchBetweenItsRoundsLeavesNoWakeUp)
+{
+    publishLargeService(0);
+    balancer.tick(atMilliseconds(9));
+    receive(packet(), 10);
+    balancer.receiveMessage(output.toAgents.front().machine,
+                            flow_claim { { { client, ordersAddress } } }, atMilliseconds(12));
+    balancer.tick(atMilliseconds(100));
+
+    CHECK_TRUE(balancer.tick(atMilliseconds(101)) > base::duration::zero());
+}
+
 // A reset breaks an open flow, so all possible owners must deny the flow first.
 TEST(entry_balancer, FlowIsNotResetWhileOneUpstreamHasNotDenied)
 {
