Add failing tests of claims, denials, former services, outages and stalls

Each guards against a fault that the present code has; none is fixed here.

FlowOfAServiceThatTheRouteNoLongerHasIsNotReset: a search covers the present services of a route only, and its end resets flows of former ones. UpstreamThatIsRemovedAfterALongOutageKeepsItsFlowsWhileItsAgentReports: the retention of a removed upstream counts from the last list that had it, so it is dropped at once after an outage of more than 20 s. AgentThatIsOftenLateReturnsUnansweredOpeningPackets: each late call of tick() extends all waits, so that they never end on a machine that is always late. ReturnedProbeThatOvertakesTheClaimOfItsAgentCounts: the packet is dropped, and the claim ends the search with an owner whose upstream has denied the flow.

--- a/packages/flow/tests/entry_balancer_test.cpp
+++ b/packages/flow/tests/entry_balancer_test.cpp
@@ -289,6 +289,55 @@
     CHECK_TRUE(balancer.tick(atMilliseconds(101)) > base::duration::zero());
 }
 
+// Packets and messages wait in two sockets. The late claim must not make an owner of an agent whose
+// upstream has returned the packet, as the flow would wait for the client's next packet.
+TEST(entry_balancer, ReturnedProbeThatOvertakesTheClaimOfItsAgentCounts)
+{
+    const flow_key key { client, ordersAddress };
+    publish(0);
+    receive(packet(), 10);
+    receiveBack(packet(), instruction::absent, 2, "orders", 12);
+    balancer.receiveMessage(2, flow_claim { { key } }, atMilliseconds(13));
+    balancer.receiveMessage(2, flow_denial { key, serviceDigest("orders") }, atMilliseconds(13));
+
+    CHECK_TRUE(balancer.ownerOf(key) != 2);
+}
+
+// Guards against a reset of an open flow: a new configuration leaves open flows at the service that
+// they were opened for.
+TEST(entry_balancer, FlowOfAServiceThatTheRouteNoLongerHasIsNotReset)
+{
+    routes.routes.front().services.push_back({ "catalog", 1 });
+    publish(0);
+    routes.version = 6;
+    routes.routes.front().services.pop_back();
+    publish(1000);
+    receive(packet(), 1010);
+    denyAll(1012);
+    publish(1500);
+    balancer.tick(atMilliseconds(1501));
+
+    CHECK_EQUAL(0, output.toClients.size());
+}
+
+// Otherwise the packets of its open flows go to other upstreams.
+TEST(entry_balancer, UpstreamThatIsRemovedAfterALongOutageKeepsItsFlowsWhileItsAgentReports)
+{
+    publish(0);
+    balancer.receiveMessage(3, flow_claim { { { client, ordersAddress } } }, atMilliseconds(5));
+    upstreams.upstreams.erase(upstreams.upstreams.begin() + 2);
+    for (const std::int64_t at : { 25000, 26500, 28000 }) {
+        publish(at);
+        for (const std::uint32_t machine : { 1U, 2U, 3U })
+            balancer.receiveMessage(machine, load_report {}, atMilliseconds(at + 100));
+    }
+    receive(packet(), 28200);
+
+    CHECK_EQUAL(1, output.toAgents.size());
+    CHECK_EQUAL(3, output.toAgents[0].machine);
+    CHECK_TRUE(output.toAgents[0].head.tag.kind == instruction::deliver);
+}
+
 // A reset breaks an open flow, so all possible owners must deny the flow first.
 TEST(entry_balancer, FlowIsNotResetWhileOneUpstreamHasNotDenied)
 {
--- a/packages/flow/tests/flow_agent_test.cpp
+++ b/packages/flow/tests/flow_agent_test.cpp
@@ -575,6 +575,16 @@
     CHECK_EQUAL(2, output.toEntries[0].head.source.port);
 }
 
+// A process with little processor time is late each time; a silent upstream must still be noticed.
+TEST(flow_agent, AgentThatIsOftenLateReturnsUnansweredOpeningPackets)
+{
+    receive(opening(), 0);
+    for (std::int64_t at = 0; at <= 2000; at += 100)
+        agent.tick(atMilliseconds(at));
+
+    CHECK_EQUAL(1, output.toEntries.size());
+}
+
 // The client has taken the answer of another upstream, so this one holds no flow to keep waiting.
 TEST(flow_agent, RequestThatAcknowledgesAnotherUpstreamIsNotHeld)
 {
