Extend the wait for an unanswered packet once after a stall

What callers would see: with an agent that is late each time, for lack of processor time, opening packets at a silent upstream are never placed elsewhere, and the list of them grows.

Cause: each late call started all waits again, a regression of the rule for stalls.

--- a/packages/flow/include/oriolehold/flow/flow_agent.h
+++ b/packages/flow/include/oriolehold/flow/flow_agent.h
@@ -96,6 +96,7 @@
     {
         base::time_point deliveredAt {};
         base::time_point dueAt {};
+        bool extended = false; // once, after a stall of the process
     };
     // An opening packet without an answer of the upstream so far.
     struct pending_opening
@@ -104,6 +105,7 @@
         base::endpoint entry;
         base::time_point returnAt {};
         base::byte_vector packet;
+        bool extended = false; // once, after a stall of the process
     };
 
     // An agent does not use the view itself; it stores the view for entry instances.
@@ -142,7 +144,7 @@
     void claimAllFlows(std::uint32_t machine);
     // Counts probes after which the upstream has sent nothing.
     void countUnansweredProbes(base::time_point now);
-    // Gives the upstream the full time again for the packets that it has not answered.
+    // Gives the upstream the full time again, once, for the packets that it has not answered.
     void extendWaits(base::time_point now);
     // Returns opening packets that the upstream has not answered in time.
     void returnUnansweredOpenings(base::time_point now);
--- a/packages/flow/src/flow_agent.cpp
+++ b/packages/flow/src/flow_agent.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace oriolehold::flow {
 
@@ -375,12 +376,14 @@
 
 void flow_agent::extendWaits(base::time_point now)
 {
-    std::ranges::for_each(m_probes, [&](pending_probe &item) {
-        item.dueAt = std::max(item.dueAt, now + probeTimeout);
-    });
-    std::ranges::for_each(m_openings, [&](pending_opening &item) {
-        item.returnAt = std::max(item.returnAt, now + openingTimeout);
-    });
+    for (pending_probe &item : m_probes) {
+        if (!std::exchange(item.extended, true))
+            item.dueAt = now + probeTimeout;
+    }
+    for (pending_opening &item : m_openings) {
+        if (!std::exchange(item.extended, true))
+            item.returnAt = now + openingTimeout;
+    }
 }
 
 void flow_agent::expire(base::time_point now)
