Keep a removed upstream for the whole time in which it may hold flows

What callers would see: after an outage of the store of more than 20 s, the flows of a sound upstream that is not back within 2.5 s are searched at all others and never at their own.

Cause: the retention was counted from the last list that had the upstream, and was over before it was removed.

Failed before: UpstreamThatIsRemovedAfterALongOutageKeepsItsFlowsWhileItsAgentReports (2 probes instead of one delivery). Found in review, not seen in a run.

--- a/packages/flow/include/oriolehold/flow/upstream_directory.h
+++ b/packages/flow/include/oriolehold/flow/upstream_directory.h
@@ -17,6 +17,7 @@
     upstream_record record;
     bool listed = true; // in the newest list, or missing for a short time after an outage
     base::time_point seenInList {}; // read time of the last list that has it
+    base::time_point removedAt {};  // when it ceased to be listed
     base::time_point warmUpEndsAt {};
     load_report report;
     base::time_point reportedAt {};        // arrival of the report; epoch: never
--- a/packages/flow/src/upstream_directory.cpp
+++ b/packages/flow/src/upstream_directory.cpp
@@ -45,10 +45,11 @@
         if (mayReregister)
             continue;
         known.listed = false;
+        known.removedAt = now;
         onChange({ change::removed, known.record.id, known.record.address });
     }
     boost::unordered::erase_if(m_upstreams, [&](const auto &item) {
-        return !item.second.listed && now - item.second.seenInList > removedRetention;
+        return !item.second.listed && now - item.second.removedAt > removedRetention;
     });
     return true;
 }
