Let a denial end the ownership of its sender

What callers would see: a packet of a flow goes to an upstream that has returned one before, until it returns the next one.

Cause: claims and denials travel as messages, returned packets by another socket. A returned packet that overtakes the claim of its agent was dropped, the claim then made the agent the owner, and its denial was ignored because the search had ended.

Failed before: ReturnedProbeThatOvertakesTheClaimOfItsAgentCounts.

--- a/packages/flow/src/owner_search.cpp
+++ b/packages/flow/src/owner_search.cpp
@@ -165,6 +165,10 @@
 void entry_balancer::receiveDenial(const flow_denial &denial, std::uint32_t machine,
                                    base::time_point now)
 {
+    // A denial may arrive after a claim that the agent sent before it.
+    const auto known = m_owners.find(denial.flow);
+    if (known != m_owners.end() && known->second.machine == machine && !denial.misdirected)
+        m_owners.erase(known);
     const auto found = m_searches.find(denial.flow);
     const flow_route *route = routeOf(denial.flow.service);
     if (found == m_searches.end() || route == nullptr)
