Search a flow at the services that its route had before, too

What callers would see: a route gets another service, and an entry instance that does not know one of its open flows searches only the new service and resets the flow.

Cause: a configuration was taken as complete about who may hold flows; it only tells where new flows go.

Failed before: FlowOfAServiceThatTheRouteNoLongerHasIsNotReset (1 reset). Found in review, not seen in a run. An instance that starts after the change does not know the former service.

--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -176,7 +176,9 @@
 
     view_exchange m_view;
     read_schedule m_schedule;
-    boost::unordered_flat_map<base::endpoint, std::size_t, base::endpoint_hash> m_routes;
+    // Routes in force, by address. Services that a route had in earlier versions may hold open
+    // flows; they stay in it with weight 0.
+    boost::unordered_flat_map<base::endpoint, flow_route, base::endpoint_hash> m_routes;
     upstream_directory m_directory;
     boost::unordered_flat_map<flow_key, owner, flow_key_hash> m_owners;
     boost::unordered_flat_map<flow_key, search, flow_key_hash> m_searches;
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <span>
+#include <utility>
 
 namespace oriolehold::flow {
 
@@ -46,7 +47,7 @@
 const flow_route *entry_balancer::routeOf(const base::endpoint &service) const
 {
     const auto found = m_routes.find(service);
-    return found == m_routes.end() ? nullptr : &m_view.configuration().routes[found->second];
+    return found == m_routes.end() ? nullptr : &found->second;
 }
 
 std::uint32_t entry_balancer::ownerOf(const flow_key &key) const
@@ -263,10 +264,18 @@
 
 void entry_balancer::routesChanged(const flow_configuration &configuration)
 {
-    m_routes.clear();
-    for (std::size_t i = 0; i < configuration.routes.size(); ++i) {
-        if (!configuration.routes[i].services.empty())
-            m_routes.emplace(configuration.routes[i].address, i);
+    const auto former = std::exchange(m_routes, {});
+    for (const flow_route &route : configuration.routes) {
+        if (route.services.empty())
+            continue;
+        flow_route &current = m_routes.emplace(route.address, route).first->second;
+        const auto known = former.find(route.address);
+        if (known == former.end())
+            continue;
+        for (const weighted_service &item : known->second.services) {
+            if (!mayServe(current, item.name))
+                current.services.push_back({ item.name, 0 });
+        }
     }
     m_observer.routesChanged(configuration);
 }
