Repeat the claims that a restarted entry instance may have lost

Cause: an agent sent the claims of all its flows once for each start of an instance, and took them for received. On machines with little processor time the claims of 10 to 24 of 65 agents were lost at once.

The claims are repeated with the next two hellos, 500 ms apart, and the hellos of every round go out in steps.

RestartedEntryInstanceReceivesClaimsOfAllFlows expected no claim at a second hello of the same start; it now uses up the repetitions first, its checks stay, and ClaimsOfAllFlowsAreRepeatedWithTheNextTwoHellosOnly is the bound on them.

--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -162,10 +162,8 @@
     flow_decision describe(decision_kind kind, const flow_key &key, const search &state,
                            base::time_point now) const;
     void expireOwners(base::time_point now);
-    void sendHello(std::uint32_t machine);
+    // Sends the next hellos of the current round, or begins a round.
     void sendHellos(base::time_point now);
-    // Sends the next of the hellos to the upstreams of the first list.
-    void sendFirstHellos(base::time_point now);
     const std::string &chooseService(const flow_route &route, const flow_key &key) const;
 
     const entry_identity m_identity;
@@ -186,8 +184,9 @@
     base::time_point m_nextSeedRequest {};
     base::time_point m_nextExpiry {};
     base::time_point m_nextSearchUpdate {};
-    std::vector<std::uint32_t> m_firstHellos;  // machines of the first list without a hello so far
-    base::time_point m_firstHelloAt {};        // when the last of them was sent
+    std::vector<std::uint32_t> m_pendingHellos; // machines of the current round
+    base::time_point m_nextHelloRound {};
+    base::time_point m_firstHelloAt {};        // when the last hello of the first round was sent
     base::time_point m_unlistedAgentSeenAt {}; // last message of an agent not in the directory
     base::time_point m_lastListAt {};          // arrival of the last list, read by any instance
     bool m_searchNeedsRead = false;            // a search waits for a newer list
--- a/packages/flow/include/oriolehold/flow/flow_agent.h
+++ b/packages/flow/include/oriolehold/flow/flow_agent.h
@@ -90,6 +90,7 @@
     {
         std::uint64_t bootId = 0;
         base::time_point lastHelloAt {};
+        std::uint32_t claimsLeft = 0; // further hellos that are answered with claims of all flows
     };
     // A probe that a running upstream returns or answers.
     struct pending_probe
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -13,7 +13,8 @@
 
 // Agents remove an entry instance after several missed hellos.
 constexpr base::duration helloInterval = 500ms;
-// The first hellos go out in steps, because each agent answers with claims of all its flows.
+// The hellos of a round go out in steps, because agents answer the first ones with claims of all
+// their flows.
 constexpr std::size_t hellosPerStep = 8;
 constexpr base::duration helloStepInterval = 5ms;
 // Wait for the claims that agents send in answer to the first hello. A round trip takes a few
@@ -290,9 +291,7 @@
         m_observer.directoryChanged(change);
     });
     if (first)
-        m_firstHellos = m_directory.machines();
-    if (first)
-        sendFirstHellos(now);
+        sendHellos(now);
 }
 
 bool entry_balancer::readDue(base::time_point now) const
@@ -325,34 +324,22 @@
     return machines;
 }
 
-void entry_balancer::sendHello(std::uint32_t machine)
-{
-    if (const known_upstream *known = m_directory.find(machine))
-        m_output.sendMessage(
-                machine, entry_hello { m_identity.bootId, m_identity.zone, known->record.slots });
-}
-
-void entry_balancer::sendFirstHellos(base::time_point now)
-{
-    const std::size_t count = std::min(hellosPerStep, m_firstHellos.size());
-    for (const std::uint32_t machine : std::span(m_firstHellos).last(count))
-        sendHello(machine);
-    m_firstHellos.resize(m_firstHellos.size() - count);
-    m_nextHello = now + (m_firstHellos.empty() ? helloInterval : helloStepInterval);
-    if (count > 0 && m_firstHellos.empty())
-        m_firstHelloAt = now;
-}
-
 void entry_balancer::sendHellos(base::time_point now)
 {
-    if (!m_firstHellos.empty()) {
-        sendFirstHellos(now);
-        return;
+    if (m_pendingHellos.empty()) {
+        m_pendingHellos = m_directory.machines();
+        m_nextHelloRound = now + helloInterval;
+    }
+    const std::size_t count = std::min(hellosPerStep, m_pendingHellos.size());
+    for (const std::uint32_t machine : std::span(m_pendingHellos).last(count)) {
+        if (const known_upstream *known = m_directory.find(machine))
+            m_output.sendMessage(
+                    machine,
+                    entry_hello { m_identity.bootId, m_identity.zone, known->record.slots });
     }
-    std::ranges::for_each(m_directory.machines(),
-                          [this](std::uint32_t machine) { sendHello(machine); });
-    m_nextHello = now + helloInterval;
-    if (m_firstHelloAt == base::time_point {} && !m_directory.empty())
+    m_pendingHellos.resize(m_pendingHellos.size() - count);
+    m_nextHello = m_pendingHellos.empty() ? m_nextHelloRound : now + helloStepInterval;
+    if (m_firstHelloAt == base::time_point {} && count > 0 && m_pendingHellos.empty())
         m_firstHelloAt = now;
 }
 
--- a/packages/flow/src/flow_agent.cpp
+++ b/packages/flow/src/flow_agent.cpp
@@ -24,6 +24,9 @@
 constexpr base::duration stallTime = 20ms;
 // Unanswered packets until the upstream is reported as unresponsive. A single one may be lost.
 constexpr std::uint32_t unresponsiveAfter = 2;
+// The claims that answer the first hello of an instance may be lost, and are sent again with the
+// next hellos.
+constexpr std::uint32_t claimRepetitions = 2;
 // Six missed hellos.
 constexpr base::duration entryTimeout = 3s;
 constexpr base::duration expiryInterval = 1s;
@@ -337,12 +340,16 @@
     }
     known_entry &entry = m_entries[machine];
     const bool restarted = entry.bootId != hello->bootId;
-    entry = { hello->bootId, now };
+    if (restarted)
+        entry = { .bootId = hello->bootId, .claimsLeft = claimRepetitions + 1 };
+    entry.lastHelloAt = now;
     m_holdQueue.setSlots(hello->slots);
-    if (restarted) {
+    if (entry.claimsLeft > 0) {
+        --entry.claimsLeft;
         claimAllFlows(machine);
-        m_nextReport = now;
     }
+    if (restarted)
+        m_nextReport = now;
 }
 
 void flow_agent::returnUnansweredOpenings(base::time_point now)
--- a/packages/flow/tests/flow_agent_test.cpp
+++ b/packages/flow/tests/flow_agent_test.cpp
@@ -295,7 +295,8 @@
 
 TEST(flow_agent, RestartedEntryInstanceReceivesClaimsOfAllFlows)
 {
-    sendHello(1);
+    for (int repetition = 0; repetition < 3; ++repetition)
+        sendHello(1);
     receive(opening(), 0);
     answer(fromUpstream(), 1);
     output.messages.clear();
@@ -306,6 +307,17 @@
     CHECK_EQUAL(1, output.sent<flow_claim>().size());
 }
 
+// The claims that answer a first hello may be lost, but must not be repeated forever.
+TEST(flow_agent, ClaimsOfAllFlowsAreRepeatedWithTheNextTwoHellosOnly)
+{
+    receive(opening(), 0);
+    answer(fromUpstream(), 1);
+    for (int hello = 0; hello < 6; ++hello)
+        sendHello(1);
+
+    CHECK_EQUAL(3, output.sent<flow_claim>().size());
+}
+
 // A crashed upstream does not answer, and the client sends its next copy only after 200 ms. A slow
 // one may still accept the flow, so this is no refusal.
 TEST(flow_agent, UnansweredOpeningPacketIsReturned)
