Tell copies of one packet apart in the check of misrouted flows

A search sends copies of one packet to several upstreams at once. The copies that arrive after the one at the owner count as packets of the flow at other upstreams, and no packet follows while the client pauses. The rule's text does not exclude this, so it stays a violation; the message names it, because its cause differs from that of a flow that is not found.

--- a/packages/flow/tests/deployment_checks.cpp
+++ b/packages/flow/tests/deployment_checks.cpp
@@ -15,6 +15,8 @@
 // Packets of an open flow at other upstreams, within this time and none at its own.
 constexpr base::duration misroutingTime = 2s;
 constexpr std::size_t misroutedPackets = 3;
+// Between the arrivals of one packet's probes.
+constexpr base::duration probeSpread = 5ms;
 // Time after which a draining upstream must not get a new flow.
 constexpr base::duration drainLimit = 3s;
 
@@ -61,12 +63,16 @@
         return;
     if (flow.owner == item.machine) {
         flow.strays.clear();
+        flow.ownerReachedAt = m_now;
+        flow.ownerSequence = head.sequence;
         return;
     }
     ++m_counts.strays;
     if (calmSince(m_now, entryIndex, *m_upstreams[flow.owner - 1]))
         ++m_counts.judgedStrays;
-    flow.strays.push_back({ m_now, entryIndex, item.machine });
+    const bool isCopy =
+            head.sequence == flow.ownerSequence && m_now - flow.ownerReachedAt < probeSpread;
+    flow.strays.push_back({ m_now, entryIndex, item.machine, isCopy });
 }
 
 void deployment_simulation::checkNewFlow(const upstream &item, const packet_head &head,
@@ -100,11 +106,15 @@
                   [&](const stray &item) { return !calmSince(item.at, item.entryIndex, owner); });
     while (!flow.strays.empty() && m_now - flow.strays.front().at >= misroutingTime) {
         const base::time_point end = flow.strays.front().at + misroutingTime;
-        const auto count = std::ranges::count_if(
-                flow.strays, [end](const stray &item) { return item.at < end; });
-        if (static_cast<std::size_t>(count) >= misroutedPackets)
+        const auto last = std::ranges::find_if(flow.strays,
+                                               [end](const stray &item) { return item.at >= end; });
+        const std::ranges::subrange counted(flow.strays.begin(), last);
+        if (counted.size() >= misroutedPackets)
             reportViolation("packets of open flow " + std::to_string(port)
-                            + " do not reach its upstream");
+                            + " do not reach its upstream"
+                            + (std::ranges::all_of(counted, &stray::isCopy)
+                                       ? " after another copy of the same packet"
+                                       : ""));
         flow.strays.erase(flow.strays.begin());
     }
 }
--- a/packages/flow/tests/deployment_parts.h
+++ b/packages/flow/tests/deployment_parts.h
@@ -104,6 +104,8 @@
     base::time_point at {};
     std::size_t entryIndex = 0; // that sent it
     std::uint32_t machine = 0;  // of the upstream
+    // A copy of the packet reached the owner shortly before: both were probes of one search.
+    bool isCopy = false;
 };
 
 struct deployment_simulation::client_flow
@@ -123,7 +125,9 @@
     // The upstream that holds the flow, once the end of the handshake reached it.
     std::uint32_t owner = 0;
     std::uint64_t ownerNumber = 0;
-    std::vector<stray> strays; // since the last packet that reached the owner
+    base::time_point ownerReachedAt {};
+    std::uint32_t ownerSequence = 0; // of the last packet that reached the owner
+    std::vector<stray> strays;       // since then
 };
 
 inline constexpr std::uint32_t firstEntryMachine = 1000; // address of the first entry instance
