--- a/packages/flow/tests/flow_random_test.cpp
+++ b/packages/flow/tests/flow_random_test.cpp
@@ -3,7 +3,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <cstdlib>
+#include <functional>
 
 using namespace oriolehold::flow;
 
@@ -82,7 +84,7 @@
 // Small deployments do not show searches that need several packets, or troubles of single machines.
 TEST(flow_random, PromisesHoldInLargeDeployments)
 {
-    constexpr std::uint64_t lastInCi = 8;
+    constexpr std::uint64_t lastInCi = 30;
     const auto [first, last] = seeds(lastInCi);
     for (std::uint64_t seed = first; seed <= last; ++seed) {
         deployment_simulation simulation(seed);
@@ -91,3 +93,39 @@
         CHECK_TRUE_TEXT(violation.empty(), text.c_str());
     }
 }
+
+// The checks of large deployments are only meaningful if the runs have searches, held requests and
+// troubles of every kind, and most packets of open flows reach their upstreams.
+TEST(flow_random, LargeDeploymentsIncludeTrafficAndTroubles)
+{
+    deployment_simulation::statistics total;
+    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+        deployment_simulation simulation(seed);
+        simulation.run(std::chrono::seconds { 30 });
+        const deployment_simulation::statistics &counts = simulation.counts();
+        CHECK_TRUE(counts.upstreams >= 4 && counts.upstreams <= 60);
+        CHECK_TRUE(counts.entries >= 3 && counts.entries <= 20);
+        CHECK_TRUE(counts.answers > counts.flowsOpened);
+        CHECK_TRUE(counts.flowsEnded * 3 > counts.flowsOpened);
+        CHECK_TRUE(counts.rehashes > 0);
+        total.upstreams = std::max(total.upstreams, counts.upstreams);
+        total.entries = std::max(total.entries, counts.entries);
+        total.flowsOpened += counts.flowsOpened;
+        total.resets += counts.resets;
+        total.searches += counts.searches;
+        total.held += counts.held;
+        total.strays += counts.strays;
+        total.judgedStrays += counts.judgedStrays;
+        std::ranges::transform(total.troubles, counts.troubles, total.troubles.begin(),
+                               std::plus<>());
+    }
+    CHECK_TRUE(total.upstreams > 40);
+    CHECK_TRUE(total.entries > 12);
+    CHECK_TRUE(total.flowsOpened > 4000);
+    CHECK_TRUE(total.resets > 0);
+    CHECK_TRUE(total.searches > 100);
+    CHECK_TRUE(total.held > 20);
+    CHECK_TRUE(total.strays > 0);
+    CHECK_TRUE(total.judgedStrays > 0);
+    CHECK_TRUE(std::ranges::all_of(total.troubles, [](int count) { return count > 0; }));
+}
