--- a/packages/flow/tests/deployment_checks.cpp
+++ b/packages/flow/tests/deployment_checks.cpp
@@ -107,7 +107,7 @@
         const base::time_point end = flow.strays.front().at + misroutingTime;
         const auto last = std::ranges::find_if(flow.strays,
                                                [end](const stray &item) { return item.at >= end; });
-        const std::ranges::subrange counted(flow.strays.begin(), last);
+        const std::span<const stray> counted(flow.strays.begin(), last);
         if (counted.size() >= misroutedPackets)
             reportViolation("packets of open flow " + std::to_string(port)
                             + " do not reach its upstream"
--- a/packages/flow/tests/deployment_parts.h
+++ b/packages/flow/tests/deployment_parts.h
@@ -58,6 +58,13 @@
     bool closed = false;
 };
 
+// A complete request at its upstream.
+struct deployment_simulation::request
+{
+    std::uint16_t port = 0; // of the client
+    std::uint32_t end = 0;  // sequence number after its last packet
+};
+
 // An upstream and the agent on its machine. The process is the agent.
 struct deployment_simulation::upstream : process
 {
@@ -80,8 +87,8 @@
     std::map<std::uint16_t, upstream_flow> flows; // by client port
     // Entry instances that sent the last packet of a flow, by client port.
     std::map<std::uint16_t, std::size_t> senders;
-    std::uint32_t serving = 0;                                   // requests
-    std::deque<std::pair<std::uint16_t, std::uint32_t>> waiting; // requests: port and end
+    std::uint32_t serving = 0; // requests
+    std::deque<request> waiting;
     std::unique_ptr<simulated_agent_output> output;
     std::unique_ptr<flow_agent> agent;
 };
--- a/packages/flow/tests/deployment_simulation.h
+++ b/packages/flow/tests/deployment_simulation.h
@@ -80,6 +80,7 @@
     struct entry;
     struct upstream;
     struct upstream_flow;
+    struct request;
     struct link;
     struct client_flow;
     struct stray;
--- a/packages/flow/tests/deployment_upstreams.cpp
+++ b/packages/flow/tests/deployment_upstreams.cpp
@@ -158,7 +158,7 @@
             continue;
         flow.expected = end;
         flow.pending.clear();
-        item.waiting.emplace_back(port, end);
+        item.waiting.push_back({ port, end });
         beginService(item);
         return;
     }
@@ -174,15 +174,15 @@
 {
     if (item.serving >= item.slots || item.waiting.empty())
         return;
-    const auto [port, end] = item.waiting.front();
+    const request next = item.waiting.front();
     item.waiting.pop_front();
     ++item.serving;
-    schedule(serviceTime(item), [this, &item, number = item.number, port, end] {
+    schedule(serviceTime(item), [this, &item, number = item.number, next] {
         if (!item.alive || item.number != number)
             return;
         --item.serving;
-        item.flows[port].answered = end;
-        sendAnswer(item, port, end);
+        item.flows[next.port].answered = next.end;
+        sendAnswer(item, next.port, next.end);
         beginService(item);
     });
 }
