Accept handovers of agents that the document lacks

Callers lost their feeds, and had to register again after Max-Age, when an upstream was removed from the document at once instead of being marked "leaving" first. Its agent drains then and offers its feeds, but the other agents have the new document, do not find the sender in it and drop every offer as wrong-service. The owner takes that as silence, asks each target in turn until the drain limit (30 s) and exits with its feeds.

Cause: a missing entry of the list is taken as proof that the sender is no agent of the service. Envelopes carry a MAC of the document's keys, and the message names the service of the feed; both are still checked, and an agent that the document assigns to another service is still refused. The entry instances treat deliveries of unknown upstreams in the same way already.

Before: FeedOfARemovedOwnerIsHandedOver fails (expected <1> stopped feed, was <0>). MessageOfAnotherServiceIsDropped holds unchanged.

--- a/packages/core/src/agent_implementation.cpp
+++ b/packages/core/src/agent_implementation.cpp
@@ -90,10 +90,12 @@
 void agent_core::implementation::receiveHandover(const endpoint &from,
                                                  const handover_message &message, time_point now)
 {
+    // An agent that the configuration does not contain was removed before its feeds had moved, or
+    // is newer than the configuration. Its envelopes are authenticated, so it is accepted.
     const upstream *peer = m_self == nullptr ? nullptr : m_configuration->findUpstreamByAgent(from);
     const bool carriesFeed =
             message.step == handover_step::offer || message.step == handover_step::commit;
-    if (peer == nullptr || peer->service != m_self->service
+    if (m_self == nullptr || (peer != nullptr && peer->service != m_self->service)
         || (carriesFeed && message.feed.service != m_self->service)) {
         drop(result_code::wrongService);
         return;
--- a/packages/core/tests/handover_sender_test.cpp
+++ b/packages/core/tests/handover_sender_test.cpp
@@ -297,3 +297,22 @@
     CHECK_EQUAL(2, two.core->dropped(result_code::wrongService));
     CHECK_EQUAL(0, owners());
 }
+
+// Guards against a feed that ends with its owner, because the other agents drop the offers of an
+// owner that the document does not contain any more.
+TEST(handover_sender, FeedOfARemovedOwnerIsHandedOver)
+{
+    subscribe();
+    configuration_content content = makeContent();
+    content.generation = 2;
+    std::erase_if(content.upstreams, [](const upstream &item) { return item.id == upstreamOne; });
+    for (const auto &[address, agent] : agents)
+        agent->core->configure(publish(content), agent->now);
+    exchangeMessages();
+    update(newOwner(), "4 left");
+
+    CHECK_EQUAL(1, one.actions.stoppedFeeds.size());
+    CHECK_EQUAL(1, owners());
+    CHECK_TRUE(newOwner().last().token()[0] == 7);
+    CHECK_EQUAL(0, newOwner().core->dropped(result_code::wrongService));
+}
