Move orders under an unbound token away from a suspect owner

Cause: when the owner in a token is suspect or removed, the entry router moved idempotent requests only, "other requests stay with the owner, which may have run them already". An agent answers an order under an unbound token with a bound one and runs nothing, so for these tokens the silence of the owner is no reason to keep it. Entry instances issue unbound tokens whenever the last report of the upstream is older than 3 s, which with 60 upstreams and 10 probes a second is the usual case without traffic, and agents issue them for every redirect. Such an order now gets a new challenge for an upstream that is not suspect. The new token is another ticket, as for a repeated request without Echo; the caller follows one challenge of a request only, so the order runs under one ticket.

Before: OrderUnderAnUnboundTokenLeavesASuspectOwner fails (isChallenge(silent)). Three tests of orders that "may have run" used unbound tokens, under which no agent runs an order, so they asserted the fault. They use bound tokens now, with the same checks: SuspectOwnerKeepsOrdersButNotIdempotentRequests, OrdersForUnreachableOwnerAreAnsweredWithUnknown, RemovedOwnerKeepsOrdersButNotIdempotentRequests.

The cost per packet was not measured; the check is on the path of suspect owners only.

--- a/packages/core/src/entry_router.cpp
+++ b/packages/core/src/entry_router.cpp
@@ -175,9 +175,10 @@
 
     route_decision routeEmpty(service_id service, const message_view &message);
     route_decision routeWithEcho(const packet_context &packet, byte_view echo);
-    route_decision routeToConfigured(const packet_context &packet, upstream_view &owner);
+    route_decision routeToConfigured(const packet_context &packet, const flow_token &token,
+                                     upstream_view &owner);
     route_decision routeToUnconfigured(const packet_context &packet, const flow_token &token);
-    route_decision routeToSuspectOrRemoved(const packet_context &packet, const endpoint &agent,
+    route_decision routeToSuspectOrRemoved(const packet_context &packet, const flow_token &token,
                                            agent_liveness &liveness, bool answerUnreachable);
     route_decision routeInvalidToken(const packet_context &packet);
     route_decision challenge(const packet_context &packet);
@@ -299,16 +300,18 @@
     upstream_view *owner = m_table.upstreamsById.find(toInteger(token.upstream), m_table.upstreams);
     const bool isConfigured =
             owner != nullptr && owner->agent() == token.agent && owner->service() == token.service;
-    return isConfigured ? routeToConfigured(packet, *owner) : routeToUnconfigured(packet, token);
+    return isConfigured ? routeToConfigured(packet, token, *owner)
+                        : routeToUnconfigured(packet, token);
 }
 
 route_decision entry_router::implementation::routeToConfigured(const packet_context &packet,
+                                                               const flow_token &token,
                                                                upstream_view &owner)
 {
     ORIOLEHOLD_INVARIANT(owner.service() == packet.service.service->id,
                          "a packet is forwarded within its service");
     if (isSuspect(owner.liveness(), packet.now)) [[unlikely]]
-        return routeToSuspectOrRemoved(packet, owner.agent(), owner.liveness(), false);
+        return routeToSuspectOrRemoved(packet, token, owner.liveness(), false);
     owner.liveness().markSent(packet.now);
     return forwardTo(owner.agent());
 }
@@ -323,15 +326,15 @@
     const bool removed = m_removed.test(toInteger(token.upstream));
     const bool suspect = isSuspect(liveness, packet.now);
     if (removed || suspect)
-        return routeToSuspectOrRemoved(packet, token.agent, liveness, removed && suspect);
+        return routeToSuspectOrRemoved(packet, token, liveness, removed && suspect);
     liveness.markSent(packet.now);
     return forwardTo(token.agent);
 }
 
-// Moves idempotent requests to another upstream. Other requests stay with the owner, which may have
-// run them already.
+// Moves idempotent requests to another upstream, and those under an unbound token, which no agent
+// runs. Other requests stay with the owner, which may have run them already.
 route_decision entry_router::implementation::routeToSuspectOrRemoved(const packet_context &packet,
-                                                                     const endpoint &agent,
+                                                                     const flow_token &token,
                                                                      agent_liveness &liveness,
                                                                      bool answerUnreachable)
 {
@@ -339,12 +342,13 @@
     if (matched == nullptr)
         return reply(packet.request, result_code::noSuchClass);
     // Without another upstream, every new challenge would select the same owner again.
-    if (matched->idempotent && hasUsableUpstream(packet.service, packet.now))
+    const bool mayMove = matched->idempotent || !token.isBound();
+    if (mayMove && hasUsableUpstream(packet.service, packet.now))
         return challenge(packet);
     if (answerUnreachable || liveness.isUnreachable(packet.now))
         return reply(packet.request, result_code::ownerUnreachable);
     liveness.markSent(packet.now);
-    return forwardTo(agent);
+    return forwardTo(token.agent);
 }
 
 route_decision entry_router::implementation::routeInvalidToken(const packet_context &packet)
--- a/packages/core/tests/entry_router_fixture.h
+++ b/packages/core/tests/entry_router_fixture.h
@@ -96,16 +96,23 @@
         return router.configure(std::make_shared<configuration>(std::move(content)), now);
     }
 
+    // A token under which the owner may have run an order.
+    flow_token_bytes boundTokenFor(std::uint16_t id)
+    {
+        return tokenFor(id, orders, incarnation { 0x10000 });
+    }
+
     route_decision route(byte_view packet, service_id service = orders)
     {
         return router.route(caller, service, packet, now);
     }
 
-    flow_token_bytes tokenFor(std::uint16_t id, service_id service = orders)
+    // Without bound, the token is unbound.
+    flow_token_bytes tokenFor(std::uint16_t id, service_id service = orders,
+                              incarnation bound = incarnation::unknown)
     {
-        const flow_token token {
-            service, upstream_id { id }, agentOf(id), {}, unixSeconds(now), 77
-        };
+        const flow_token token { service, upstream_id { id }, agentOf(id),
+                                 bound,   unixSeconds(now),   77 };
         return flow_token_codec(makeContent()).seal(token, caller.address);
     }
 
--- a/packages/core/tests/entry_router_test.cpp
+++ b/packages/core/tests/entry_router_test.cpp
@@ -219,15 +219,30 @@
     fixture.passTime(1s, { 1, 2, 3 });
     fixture.route(stockRequest(fixture.tokenFor(1)));
     fixture.passTime(2s, { 2, 3 });
-    const flow_token_bytes token = fixture.tokenFor(1);
+    const flow_token_bytes token = fixture.boundTokenFor(1);
     CHECK_TRUE(isChallenge(fixture.route(stockRequest(token))));
     CHECK_TRUE(isForwardTo(fixture.route(orderRequest(token)), 1));
 }
 
+// Guards against an order that waits for a silent owner, or is answered "unknown", although no
+// agent runs an order under an unbound token.
+TEST(entry_router, OrderUnderAnUnboundTokenLeavesASuspectOwner)
+{
+    fixture.passTime(1s, { 1, 2, 3 });
+    const flow_token_bytes token = fixture.tokenFor(1);
+    CHECK_TRUE(isForwardTo(fixture.route(orderRequest(token)), 1));
+    fixture.passTime(2s, { 2, 3 });
+    const route_decision silent = fixture.route(orderRequest(token));
+    CHECK_TRUE(isChallenge(silent));
+    CHECK_TRUE(fixture.challengedToken(silent).upstream != upstream_id { 1 });
+    fixture.router.observeUnreachable(agentOf(2), fixture.now);
+    CHECK_TRUE(isChallenge(fixture.route(orderRequest(fixture.tokenFor(2)))));
+}
+
 TEST(entry_router, OrdersForUnreachableOwnerAreAnsweredWithUnknown)
 {
     fixture.router.observeUnreachable(agentOf(1), fixture.now);
-    const flow_token_bytes token = fixture.tokenFor(1);
+    const flow_token_bytes token = fixture.boundTokenFor(1);
     CHECK_TRUE(isChallenge(fixture.route(stockRequest(token))));
     CHECK_TRUE(isReply(fixture.route(orderRequest(token)), result_code::ownerUnreachable,
                        message_code::gatewayTimeout));
@@ -279,7 +294,7 @@
     configuration_content content = makeContent(2);
     content.upstreams.erase(content.upstreams.begin());
     fixture.configure(content);
-    const flow_token_bytes token = fixture.tokenFor(1);
+    const flow_token_bytes token = fixture.boundTokenFor(1);
     CHECK_TRUE(isChallenge(fixture.route(stockRequest(token))));
     CHECK_TRUE(isForwardTo(fixture.route(orderRequest(token)), 1));
     fixture.passTime(4s, { 2, 3 });
