Keep open flows at an owner that was not probed

Callers of a deployment with many upstreams were sent to another upstream although their own was sound: a guide started again from its first block, and a feed was registered a second time, after some packets had been lost at once on the way to many agents.

Cause: an agent counts as silent 1.5 s after a packet that it did not answer, if others are heard. The four probes that are to rule out a lost packet share a limit of 10 a second per router, so with more than some 20 unanswered agents most are never asked: the router took the lack of an answer to a question that it had not sent for silence. New flows avoid such an agent as before, which harms none. Idempotent requests under a token now leave it only when it was removed, is unreachable, or left a probe unanswered for a quarter of suspectAfter. A dead agent is still left after 1.5 s while the probes keep up, and after its first probe otherwise.

Before: OwnerThatWasNotProbedKeepsItsFlows, with 60 upstreams that answer every probe, fails (isForwardTo). SuspectOwnerKeepsOrders- ButNotIdempotentRequests asserted that a request moves although the test sent no probe; it now sends the due probes as the daemon does, checks that the owner is among them and holds the former checks.

--- a/packages/core/src/entry_router.cpp
+++ b/packages/core/src/entry_router.cpp
@@ -179,7 +179,7 @@
                                      upstream_view &owner);
     route_decision routeToUnconfigured(const packet_context &packet, const flow_token &token);
     route_decision routeToSuspectOrRemoved(const packet_context &packet, const flow_token &token,
-                                           agent_liveness &liveness, bool answerUnreachable);
+                                           agent_liveness &liveness, bool removed);
     route_decision routeInvalidToken(const packet_context &packet);
     route_decision challenge(const packet_context &packet);
     route_decision reply(const message_view &request, result_code code,
@@ -326,26 +326,29 @@
     const bool removed = m_removed.test(toInteger(token.upstream));
     const bool suspect = isSuspect(liveness, packet.now);
     if (removed || suspect)
-        return routeToSuspectOrRemoved(packet, token, liveness, removed && suspect);
+        return routeToSuspectOrRemoved(packet, token, liveness, removed);
     liveness.markSent(packet.now);
     return forwardTo(token.agent);
 }
 
-// Moves idempotent requests to another upstream, and those under an unbound token, which no agent
-// runs. Other requests stay with the owner, which may have run them already.
+// Moves idempotent requests to another upstream once the owner was removed or has not answered a
+// probe, and other requests under an unbound token, which no agent runs. All others stay with the
+// owner, which may have run them already.
 route_decision entry_router::implementation::routeToSuspectOrRemoved(const packet_context &packet,
                                                                      const flow_token &token,
                                                                      agent_liveness &liveness,
-                                                                     bool answerUnreachable)
+                                                                     bool removed)
 {
     const request_class *matched = classifyRequest(*packet.service.service, packet.request);
     if (matched == nullptr)
         return reply(packet.request, result_code::noSuchClass);
     // Without another upstream, every new challenge would select the same owner again.
-    const bool mayMove = matched->idempotent || !token.isBound();
+    const bool unreachable = liveness.isUnreachable(packet.now);
+    const bool gone = removed || unreachable || m_silenceDetector.isSilentToProbes(liveness);
+    const bool mayMove = matched->idempotent ? gone : !token.isBound();
     if (mayMove && hasUsableUpstream(packet.service, packet.now))
         return challenge(packet);
-    if (answerUnreachable || liveness.isUnreachable(packet.now))
+    if (unreachable || (removed && m_silenceDetector.isSilent(liveness)))
         return reply(packet.request, result_code::ownerUnreachable);
     liveness.markSent(packet.now);
     return forwardTo(token.agent);
@@ -532,8 +535,7 @@
     for (const due_probe &probe : interleave(std::move(urgent), std::move(regular))) {
         if (!m_probeLimiter.tryAcquire(now))
             break;
-        probe.liveness->probedAt = now;
-        probe.liveness->markSent(now);
+        probe.liveness->markProbed(now);
         agents.push_back(probe.agent);
         m_lastProbeWasUrgent = probe.urgent;
     }
--- a/packages/core/src/internal/upstream_view.cpp
+++ b/packages/core/src/internal/upstream_view.cpp
@@ -15,6 +15,8 @@
 // Datagrams of a previous incarnation arrive at most this time after those of the next one. A lower
 // incarnation after this time comes from a machine whose clock was set back.
 constexpr duration reorderingLimit = std::chrono::seconds { 1 };
+// Share of suspectAfter within which a probe is answered.
+constexpr int probeAnswerShare = 4;
 // Warm-up factor at the start. It is positive, because an upstream without traffic never warms up.
 constexpr double minimumWarmUpFactor = 0.05;
 
@@ -43,10 +45,19 @@
         unansweredSince = now;
 }
 
+void agent_liveness::markProbed(time_point now)
+{
+    probedAt = now;
+    if (!probeUnansweredSince)
+        probeUnansweredSince = now;
+    markSent(now);
+}
+
 void agent_liveness::markReceived(time_point now)
 {
     receivedAt = now;
     unansweredSince.reset();
+    probeUnansweredSince.reset();
     unreachableAt.reset();
 }
 
@@ -64,8 +75,18 @@
 
 bool silence_detector::isSilent(const agent_liveness &agent) const
 {
-    return agent.unansweredSince && m_receivedAt
-            && *m_receivedAt - std::max(*agent.unansweredSince, m_receivingSince) >= m_suspectAfter;
+    return isUnanswered(agent.unansweredSince, m_suspectAfter);
+}
+
+bool silence_detector::isSilentToProbes(const agent_liveness &agent) const
+{
+    return isSilent(agent)
+            && isUnanswered(agent.probeUnansweredSince, m_suspectAfter / probeAnswerShare);
+}
+
+bool silence_detector::isUnanswered(const std::optional<time_point> &since, duration limit) const
+{
+    return since && m_receivedAt && *m_receivedAt - std::max(*since, m_receivingSince) >= limit;
 }
 
 upstream_view::upstream_view(const core::upstream &upstream, bool sameZone)
--- a/packages/core/src/internal/upstream_view.h
+++ b/packages/core/src/internal/upstream_view.h
@@ -18,8 +18,10 @@
     std::optional<time_point> unreachableAt;   // port-unreachable notice since receivedAt
     std::optional<time_point> receivedAt;
     std::optional<time_point> probedAt;
+    std::optional<time_point> probeUnansweredSince; // first probe sent since receivedAt
 
     void markSent(time_point now);
+    void markProbed(time_point now);
     void markReceived(time_point now);
     // Whether a recent port-unreachable notice shows that no process uses the agent's address.
     bool isUnreachable(time_point now) const;
@@ -36,8 +38,13 @@
     // Whether messages of other agents arrived at least suspectAfter later than the first
     // unanswered message to this one.
     bool isSilent(const agent_liveness &agent) const;
+    // Whether a silent agent also left a probe unanswered. The packet that the agent did not answer
+    // may have been lost, and the probe limit may delay the probes.
+    bool isSilentToProbes(const agent_liveness &agent) const;
 
 private:
+    bool isUnanswered(const std::optional<time_point> &since, duration limit) const;
+
     duration m_suspectAfter;
     std::optional<time_point> m_receivedAt;
     time_point m_receivingSince {}; // end of the last interval without any message
--- a/packages/core/tests/entry_router_test.cpp
+++ b/packages/core/tests/entry_router_test.cpp
@@ -218,7 +218,10 @@
 {
     fixture.passTime(1s, { 1, 2, 3 });
     fixture.route(stockRequest(fixture.tokenFor(1)));
-    fixture.passTime(2s, { 2, 3 });
+    fixture.passTime(500ms, { 2, 3 });
+    const std::vector<endpoint> probed = fixture.router.probesDue(fixture.now);
+    CHECK_TRUE(std::ranges::find(probed, agentOf(1)) != probed.end());
+    fixture.passTime(1500ms, { 2, 3 });
     const flow_token_bytes token = fixture.boundTokenFor(1);
     CHECK_TRUE(isChallenge(fixture.route(stockRequest(token))));
     CHECK_TRUE(isForwardTo(fixture.route(orderRequest(token)), 1));
@@ -392,3 +395,35 @@
     fixture.passTime(500ms, { 1, 2, 4 });
     CHECK_TRUE((fixture.router.probesDue(fixture.now) == std::vector { agentOf(3) }));
 }
+
+// Guards against downloads and feeds that leave a sound owner, because the router took its silence
+// for an answer although the probe limit had kept it from asking.
+TEST(entry_router, OwnerThatWasNotProbedKeepsItsFlows)
+{
+    constexpr std::uint16_t silent = 10;
+    constexpr std::uint16_t last = 69;
+    configuration_content content = makeContent(2);
+    for (std::uint16_t id = silent; id <= last; ++id)
+        content.upstreams.push_back(makeUpstream(id, orders));
+    fixture.configure(content);
+    for (std::uint16_t id = silent; id <= last; ++id) {
+        fixture.report(id);
+        fixture.route(stockRequest(fixture.tokenFor(id))); // lost on its way
+    }
+    // All agents but one answer every probe.
+    const auto exchangeProbes = [&](duration time) {
+        for (const time_point end = fixture.now + time; fixture.now < end; fixture.now += 100ms) {
+            fixture.passTime(100ms, { 1, 2, 3, 4 });
+            fixture.now -= 100ms;
+            for (const endpoint &agent : fixture.router.probesDue(fixture.now)) {
+                if (agent != agentOf(silent))
+                    fixture.report(static_cast<std::uint16_t>(agent.port - 20000));
+            }
+        }
+    };
+    exchangeProbes(2s);
+    for (std::uint16_t id = silent + 1; id <= last; ++id)
+        CHECK_TRUE(isForwardTo(fixture.route(stockRequest(fixture.tokenFor(id))), id));
+    exchangeProbes(20s);
+    CHECK_TRUE(isChallenge(fixture.route(stockRequest(fixture.tokenFor(silent)))));
+}
