Prefer the entry instance that was heard last among silent ones

Callers of a large deployment would miss answers and notifications that an agent sent through a dead entry instance while many others were alive: after the loss of one of four availability zones, up to one in four until the document lists them no more.

Cause: an entry instance counts as silent 1 s after its last envelope, and all silent ones were taken as equal, those that were never heard or died long ago with those that were heard 1.1 s ago. With 620 entry instances that probe 3,600 agents 10 times a second each, an agent hears about two of them within 1 s, so a sample of 32 mostly holds silent ones only, and the last of the sample was used. Now the one of the sample that was heard last is used.

Before: EntryThatWasHeardLatelyIsPreferredToOneThatNeverWas fails (an entry of the half that was never heard is chosen). The deployment above is calculated, not run.

--- a/packages/core/src/entry_selector.cpp
+++ b/packages/core/src/entry_selector.cpp
@@ -43,18 +43,31 @@
 {
     if (m_entries.empty())
         return excluded;
+    // With hundreds of entries most are silent, because each probes an agent rarely. The one that
+    // was heard last is the least likely to be dead.
     std::optional<endpoint> silent;
+    time_point silentSince;
     for (int i = 0; i < maxSamples; ++i) {
         const endpoint &candidate = m_entries[m_random.below(m_entries.size())];
         if (candidate == excluded)
             continue;
         if (!isSilent(candidate, now))
             return candidate;
-        silent = candidate;
+        const time_point received = lastReceived(candidate);
+        if (!silent || received > silentSince) {
+            silent = candidate;
+            silentSince = received;
+        }
     }
     return silent.value_or(excluded);
 }
 
+time_point entry_selector::lastReceived(const endpoint &entry) const
+{
+    const auto found = m_lastReceived.find(entry);
+    return found == m_lastReceived.end() ? time_point::min() : found->second;
+}
+
 bool entry_selector::isSilent(const endpoint &entry, time_point now) const
 {
     const auto found = m_lastReceived.find(entry);
--- a/packages/core/src/internal/entry_selector.h
+++ b/packages/core/src/internal/entry_selector.h
@@ -22,11 +22,13 @@
 
     // Returns preferred, or another entry if preferred has been silent for entryTimeout.
     endpoint choose(const endpoint &preferred, time_point now);
-    // Returns an entry other than excluded if there is one; entries that are not silent are
-    // preferred.
+    // Returns an entry other than excluded if there is one, one that is not silent or else the one
+    // of the sample that was heard last.
     endpoint chooseOther(const endpoint &excluded, time_point now);
 
 private:
+    // time_point::min() if the entry was never heard.
+    time_point lastReceived(const endpoint &entry) const;
     bool isSilent(const endpoint &entry, time_point now) const;
 
     duration m_entryTimeout;
