Keep the hop count when an entry replaces an unbound token

An agent redirects an order because of load to an upstream that the entry router suspects; the router challenges it back to the agent with a hop count of 0, so the agent redirects it again, until the caller has followed six challenges. Idempotent requests could go to and fro in the same way before.

The new token now has the hop count of the unbound token that it replaces, so the agent keeps the order after two redirects. A challenge that replaces a bound token starts at 0 as before.

Before: ReplacedUnboundTokenKeepsItsHopCount fails (expected <1>, was <0>).

--- a/packages/core/src/entry_router.cpp
+++ b/packages/core/src/entry_router.cpp
@@ -181,11 +181,12 @@
     route_decision routeToSuspectOrRemoved(const packet_context &packet, const flow_token &token,
                                            agent_liveness &liveness, bool removed);
     route_decision routeInvalidToken(const packet_context &packet);
-    route_decision challenge(const packet_context &packet);
+    // hops is the hop count of the token that the challenge replaces.
+    route_decision challenge(const packet_context &packet, std::uint8_t hops = 0);
     route_decision reply(const message_view &request, result_code code,
                          diagnostic_options options = {});
     route_decision replyBytes(const message_view &request, result_code code, byte_view bytes);
-    flow_token newToken(const upstream_view &owner, time_point now);
+    flow_token newToken(const upstream_view &owner, time_point now, std::uint8_t hops);
     bool isProbeDue(const agent_liveness &liveness, bool refresh, time_point now) const;
 
     entry_router_options m_options;
@@ -347,7 +348,7 @@
     const bool gone = removed || unreachable || m_silenceDetector.isSilentToProbes(liveness);
     const bool mayMove = matched->idempotent ? gone : !token.isBound();
     if (mayMove && hasUsableUpstream(packet.service, packet.now))
-        return challenge(packet);
+        return challenge(packet, token.isBound() ? 0 : token.hops);
     if (unreachable || (removed && m_silenceDetector.isSilent(liveness)))
         return reply(packet.request, result_code::ownerUnreachable);
     liveness.markSent(packet.now);
@@ -363,7 +364,8 @@
                                : reply(packet.request, result_code::tokenInvalid);
 }
 
-route_decision entry_router::implementation::challenge(const packet_context &packet)
+route_decision entry_router::implementation::challenge(const packet_context &packet,
+                                                       std::uint8_t hops)
 {
     if (!packet.service.challengeLimiter.tryAcquire(packet.now))
         return drop(result_code::rateLimited);
@@ -375,7 +377,7 @@
         return reply(packet.request, result_code::noUpstream, { .maxAge = noUpstreamMaxAge });
     owner->markAssigned(packet.now);
     const flow_token_bytes echo =
-            m_tokens->seal(newToken(*owner, packet.now), packet.caller.address);
+            m_tokens->seal(newToken(*owner, packet.now, hops), packet.caller.address);
     return reply(packet.request, result_code::challenge, { .echo = echo });
 }
 
@@ -396,12 +398,17 @@
     return { route_verdict::reply, code, {}, byte_view(m_reply).first(bytes.size()) };
 }
 
-flow_token entry_router::implementation::newToken(const upstream_view &owner, time_point now)
+flow_token entry_router::implementation::newToken(const upstream_view &owner, time_point now,
+                                                  std::uint8_t hops)
 {
     const upstream &configured = owner.upstream();
-    return { configured.service, configured.id,
-             configured.agent,   owner.currentIncarnation(now),
-             unixSeconds(now),   m_random.next() & ticketMask };
+    return { configured.service,
+             configured.id,
+             configured.agent,
+             owner.currentIncarnation(now),
+             unixSeconds(now),
+             m_random.next() & ticketMask,
+             hops };
 }
 
 bool entry_router::implementation::belongsToOtherService(const endpoint &agent,
--- a/packages/core/tests/entry_router_test.cpp
+++ b/packages/core/tests/entry_router_test.cpp
@@ -242,6 +242,20 @@
     CHECK_TRUE(isChallenge(fixture.route(orderRequest(fixture.tokenFor(2)))));
 }
 
+// Guards against an order that the only usable upstream redirects because of load and the router
+// sends back, until the caller follows no further challenge.
+TEST(entry_router, ReplacedUnboundTokenKeepsItsHopCount)
+{
+    fixture.passTime(1s, { 1, 2, 3 });
+    flow_token token { orders, upstream_id { 1 }, agentOf(1), {}, unixSeconds(fixture.now), 77 };
+    token.hops = 1;
+    const flow_token_bytes echo = flow_token_codec(makeContent()).seal(token, caller.address);
+    fixture.route(orderRequest(echo));
+    fixture.passTime(2s, { 2, 3 });
+    CHECK_EQUAL(1, fixture.challengedToken(fixture.route(orderRequest(echo))).hops);
+    CHECK_EQUAL(0, fixture.challengedToken(fixture.route(orderRequest())).hops);
+}
+
 TEST(entry_router, OrdersForUnreachableOwnerAreAnsweredWithUnknown)
 {
     fixture.router.observeUnreachable(agentOf(1), fixture.now);
