Replace a feed at the connection limit

A caller that registered for another resource under the token of its feed lost the feed and was refused (connection-limit) when the upstream had no free connection. The feed is removed first, but the free connections were counted before. The connection that this frees now counts as free for the replacement.

Before: FeedIsReplacedAtTheConnectionLimit fails (expected <11> started feeds, was <10>). FeedsBeyondTheConnectionLimitAreRefused holds unchanged.

--- a/packages/core/src/feed_service.cpp
+++ b/packages/core/src/feed_service.cpp
@@ -55,6 +55,7 @@
             || known->state.queries != context.request.queries)) {
         remove(known->id);
         known = nullptr;
+        hasFreeConnection = true; // the one of the feed that is replaced
     }
     if (known != nullptr && !known->frozen) {
         known->entry = entry;
--- a/packages/core/tests/feed_service_test.cpp
+++ b/packages/core/tests/feed_service_test.cpp
@@ -175,6 +175,22 @@
     CHECK_TRUE(agent.lastCode() == result_code::connectionLimit);
 }
 
+// Guards against a caller that loses its feed when it registers for another resource under the same
+// token, because the connection that this frees was not counted.
+TEST(feed_service, FeedIsReplacedAtTheConnectionLimit)
+{
+    for (std::uint8_t i = 0; i < 10; ++i)
+        subscribe(i, { i });
+    packet registration = get("stock", agent.token(1), 20);
+    registration.observe = 0;
+    registration.token = { 3 };
+    registration.query = "id=2";
+    agent.receive(registration);
+    CHECK_EQUAL(11, agent.actions.startedFeeds.size());
+    CHECK_EQUAL(1, agent.actions.stoppedFeeds.size());
+    CHECK_EQUAL(10, agent.core->report(agent.now).connections);
+}
+
 TEST(feed_service, FeedThatTheUpstreamEndsIsEndedForTheCaller)
 {
     const feed_id feed = subscribeWithState();
