--- a/packages/core/src/entry_router.cpp
+++ b/packages/core/src/entry_router.cpp
@@ -175,16 +175,18 @@
 
     route_decision routeEmpty(service_id service, const message_view &message);
     route_decision routeWithEcho(const packet_context &packet, byte_view echo);
-    route_decision routeToConfigured(const packet_context &packet, upstream_view &owner);
+    route_decision routeToConfigured(const packet_context &packet, const flow_token &token,
+                                     upstream_view &owner);
     route_decision routeToUnconfigured(const packet_context &packet, const flow_token &token);
-    route_decision routeToSuspectOrRemoved(const packet_context &packet, const endpoint &agent,
-                                           agent_liveness &liveness, bool answerUnreachable);
+    route_decision routeToSuspectOrRemoved(const packet_context &packet, const flow_token &token,
+                                           agent_liveness &liveness, bool removed);
     route_decision routeInvalidToken(const packet_context &packet);
-    route_decision challenge(const packet_context &packet);
+    // hops is the hop count of the token that the challenge replaces.
+    route_decision challenge(const packet_context &packet, std::uint8_t hops = 0);
     route_decision reply(const message_view &request, result_code code,
                          diagnostic_options options = {});
     route_decision replyBytes(const message_view &request, result_code code, byte_view bytes);
-    flow_token newToken(const upstream_view &owner, time_point now);
+    flow_token newToken(const upstream_view &owner, time_point now, std::uint8_t hops);
     bool isProbeDue(const agent_liveness &liveness, bool refresh, time_point now) const;
 
     entry_router_options m_options;
@@ -299,16 +301,18 @@
     upstream_view *owner = m_table.upstreamsById.find(toInteger(token.upstream), m_table.upstreams);
     const bool isConfigured =
             owner != nullptr && owner->agent() == token.agent && owner->service() == token.service;
-    return isConfigured ? routeToConfigured(packet, *owner) : routeToUnconfigured(packet, token);
+    return isConfigured ? routeToConfigured(packet, token, *owner)
+                        : routeToUnconfigured(packet, token);
 }
 
 route_decision entry_router::implementation::routeToConfigured(const packet_context &packet,
+                                                               const flow_token &token,
                                                                upstream_view &owner)
 {
     ORIOLEHOLD_INVARIANT(owner.service() == packet.service.service->id,
                          "a packet is forwarded within its service");
     if (isSuspect(owner.liveness(), packet.now)) [[unlikely]]
-        return routeToSuspectOrRemoved(packet, owner.agent(), owner.liveness(), false);
+        return routeToSuspectOrRemoved(packet, token, owner.liveness(), false);
     owner.liveness().markSent(packet.now);
     return forwardTo(owner.agent());
 }
@@ -323,28 +327,32 @@
     const bool removed = m_removed.test(toInteger(token.upstream));
     const bool suspect = isSuspect(liveness, packet.now);
     if (removed || suspect)
-        return routeToSuspectOrRemoved(packet, token.agent, liveness, removed && suspect);
+        return routeToSuspectOrRemoved(packet, token, liveness, removed);
     liveness.markSent(packet.now);
     return forwardTo(token.agent);
 }
 
-// Moves idempotent requests to another upstream. Other requests stay with the owner, which may have
-// run them already.
+// Moves idempotent requests to another upstream once the owner was removed or has not answered a
+// probe, and other requests under an unbound token, which no agent runs. All others stay with the
+// owner, which may have run them already.
 route_decision entry_router::implementation::routeToSuspectOrRemoved(const packet_context &packet,
-                                                                     const endpoint &agent,
+                                                                     const flow_token &token,
                                                                      agent_liveness &liveness,
-                                                                     bool answerUnreachable)
+                                                                     bool removed)
 {
     const request_class *matched = classifyRequest(*packet.service.service, packet.request);
     if (matched == nullptr)
         return reply(packet.request, result_code::noSuchClass);
     // Without another upstream, every new challenge would select the same owner again.
-    if (matched->idempotent && hasUsableUpstream(packet.service, packet.now))
-        return challenge(packet);
-    if (answerUnreachable || liveness.isUnreachable(packet.now))
+    const bool unreachable = liveness.isUnreachable(packet.now);
+    const bool gone = removed || unreachable || m_silenceDetector.isSilentToProbes(liveness);
+    const bool mayMove = matched->idempotent ? gone : !token.isBound();
+    if (mayMove && hasUsableUpstream(packet.service, packet.now))
+        return challenge(packet, token.isBound() ? 0 : token.hops);
+    if (unreachable || (removed && m_silenceDetector.isSilent(liveness)))
         return reply(packet.request, result_code::ownerUnreachable);
     liveness.markSent(packet.now);
-    return forwardTo(agent);
+    return forwardTo(token.agent);
 }
 
 route_decision entry_router::implementation::routeInvalidToken(const packet_context &packet)
@@ -356,7 +364,8 @@
                                : reply(packet.request, result_code::tokenInvalid);
 }
 
-route_decision entry_router::implementation::challenge(const packet_context &packet)
+route_decision entry_router::implementation::challenge(const packet_context &packet,
+                                                       std::uint8_t hops)
 {
     if (!packet.service.challengeLimiter.tryAcquire(packet.now))
         return drop(result_code::rateLimited);
@@ -368,7 +377,7 @@
         return reply(packet.request, result_code::noUpstream, { .maxAge = noUpstreamMaxAge });
     owner->markAssigned(packet.now);
     const flow_token_bytes echo =
-            m_tokens->seal(newToken(*owner, packet.now), packet.caller.address);
+            m_tokens->seal(newToken(*owner, packet.now, hops), packet.caller.address);
     return reply(packet.request, result_code::challenge, { .echo = echo });
 }
 
@@ -389,12 +398,17 @@
     return { route_verdict::reply, code, {}, byte_view(m_reply).first(bytes.size()) };
 }
 
-flow_token entry_router::implementation::newToken(const upstream_view &owner, time_point now)
+flow_token entry_router::implementation::newToken(const upstream_view &owner, time_point now,
+                                                  std::uint8_t hops)
 {
     const upstream &configured = owner.upstream();
-    return { configured.service, configured.id,
-             configured.agent,   owner.currentIncarnation(now),
-             unixSeconds(now),   m_random.next() & ticketMask };
+    return { configured.service,
+             configured.id,
+             configured.agent,
+             owner.currentIncarnation(now),
+             unixSeconds(now),
+             m_random.next() & ticketMask,
+             hops };
 }
 
 bool entry_router::implementation::belongsToOtherService(const endpoint &agent,
@@ -528,8 +542,7 @@
     for (const due_probe &probe : interleave(std::move(urgent), std::move(regular))) {
         if (!m_probeLimiter.tryAcquire(now))
             break;
-        probe.liveness->probedAt = now;
-        probe.liveness->markSent(now);
+        probe.liveness->markProbed(now);
         agents.push_back(probe.agent);
         m_lastProbeWasUrgent = probe.urgent;
     }
