Let reports that arrive before the first list not delay resets

Callers of a lost flow would wait up to 2.5 s longer for the reset after an entry instance restarts: agents go on reporting to its address, and before the first list each of them counted as one that the list lacks. The time is now kept for each agent and dropped once a list has its machine.

Evidence: ReportBeforeTheFirstListDoesNotDelayResets fails without the change. FlowIsNotResetWhileAnUnlistedAgentReports still passes.

HellosToUpstreamsOfALaterListAreSpread is new and fails: only the hellos to the upstreams of the first list are spread, though that list may lack those whose entries lapsed. It is not fixed here.

--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -185,12 +185,14 @@
     base::time_point m_nextExpiry {};
     base::time_point m_nextSearchUpdate {};
     std::vector<std::uint32_t> m_pendingHellos; // machines of the current round
+    std::size_t m_hellosPerStep = 0;            // of the current round
     base::time_point m_nextHelloRound {};
-    base::time_point m_firstHelloAt {};        // when the last hello of the first round was sent
-    base::time_point m_unlistedAgentSeenAt {}; // last message of an agent not in the directory
-    base::time_point m_lastListAt {};          // arrival of the last list, read by any instance
-    bool m_searchNeedsRead = false;            // a search waits for a newer list
-    bool m_searchInProgress = false;           // a search has probes to send
+    base::time_point m_firstHelloAt {}; // when the last hello of the first round was sent
+    // Time of the last message of each agent that is not in the directory, by machine address.
+    boost::unordered_flat_map<std::uint32_t, base::time_point> m_unlistedAgents;
+    base::time_point m_lastListAt {}; // arrival of the last list, read by any instance
+    bool m_searchNeedsRead = false;   // a search waits for a newer list
+    bool m_searchInProgress = false;  // a search has probes to send
     base::byte_vector m_scratch;
     entry_counters m_counters;
 };
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -227,7 +227,7 @@
             || std::holds_alternative<flow_claim>(message);
     m_directory.hear(machine, now);
     if (sentByAgent && m_directory.find(machine) == nullptr)
-        m_unlistedAgentSeenAt = now;
+        m_unlistedAgents[machine] = now;
     if (const auto *report = std::get_if<load_report>(&message))
         m_directory.report(machine, *report, now);
     else if (const auto *claimed = std::get_if<flow_claim>(&message))
@@ -290,6 +290,10 @@
     m_directory.update(list, readAt, now, [this](const directory_change &change) {
         m_observer.directoryChanged(change);
     });
+    boost::unordered::erase_if(m_unlistedAgents, [&](const auto &item) {
+        return m_directory.find(item.first) != nullptr
+                || now - item.second >= upstream_directory::reregistrationTime;
+    });
     if (first)
         sendHellos(now);
 }
--- a/packages/flow/src/owner_search.cpp
+++ b/packages/flow/src/owner_search.cpp
@@ -230,7 +230,9 @@
         m_searchNeedsRead = m_searchNeedsRead || !listIsNewer;
         // The upstream of an agent that reports although it is not listed may register again.
         const bool listMayBeIncomplete =
-                now - m_unlistedAgentSeenAt < upstream_directory::reregistrationTime;
+                std::ranges::any_of(m_unlistedAgents, [&](const auto &agent) {
+                    return now - agent.second < upstream_directory::reregistrationTime;
+                });
         if (!listIsNewer || listMayBeIncomplete)
             return false;
         resetClient(state.lastHead, "no upstream holds the flow", now);
--- a/packages/flow/tests/entry_balancer_test.cpp
+++ b/packages/flow/tests/entry_balancer_test.cpp
@@ -472,6 +472,20 @@
     CHECK_EQUAL(1, output.toClients.size());
 }
 
+// Agents report to the former process of a restarted instance. The client of a lost flow would have
+// to wait although the first list has all of them.
+TEST(entry_balancer, ReportBeforeTheFirstListDoesNotDelayResets)
+{
+    balancer.receiveMessage(3, load_report {}, atMilliseconds(0));
+    publish(5);
+    receive(packet(), 10);
+    denyAll(12);
+    publish(500);
+    balancer.tick(atMilliseconds(501));
+
+    CHECK_EQUAL(1, output.toClients.size());
+}
+
 // The machine of a removed upstream may be switched off, so that no denial can arrive.
 TEST(entry_balancer, RemovedUpstreamWithASilentAgentNeedsNoDenial)
 {
@@ -831,6 +845,19 @@
     CHECK_TRUE(balancer.ready(atMilliseconds(200)));
 }
 
+// The first list may lack upstreams whose entries lapsed in an outage of the store. Their agents
+// answer their first hello with claims too.
+TEST(entry_balancer, HellosToUpstreamsOfALaterListAreSpread)
+{
+    upstreams.upstreams.clear();
+    publish(0);
+    balancer.tick(atMilliseconds(10));
+    publishLargeService(1000);
+    balancer.tick(atMilliseconds(1001));
+
+    CHECK_TRUE(hellos() < largeService / 4);
+}
+
 TEST(entry_balancer, IsReadyOnlyWithRoutesAndAfterTheFirstHellos)
 {
     CHECK_FALSE(balancer.ready(atMilliseconds(0)));
