Let a round of hellos take a fixed number of steps

What callers would see: with thousands of upstreams an instance is forgotten by the agents, gets neither claims nor reports, and its flows are searched.

Cause: a step of 8 hellos, however many there are; with 3,600 upstreams and a call of tick() each 20 ms a round lasts 9 s, and agents forget an instance after 3 s.

Failed before: HellosToAVeryLargeServiceAreSentWithinOneInterval.

--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -15,7 +15,8 @@
 constexpr base::duration helloInterval = 500ms;
 // The hellos of a round go out in steps, because agents answer the first ones with claims of all
 // their flows.
-constexpr std::size_t hellosPerStep = 8;
+constexpr std::size_t minHellosPerStep = 8;
+constexpr std::size_t maxHelloSteps = 20; // of a round
 constexpr base::duration helloStepInterval = 5ms;
 // Wait for the claims that agents send in answer to the first hello. A round trip takes a few
 // milliseconds, so the wait covers a lost datagram.
@@ -333,8 +334,10 @@
     if (m_pendingHellos.empty()) {
         m_pendingHellos = m_directory.machines();
         m_nextHelloRound = now + helloInterval;
+        m_hellosPerStep = std::max(minHellosPerStep,
+                                   (m_pendingHellos.size() + maxHelloSteps - 1) / maxHelloSteps);
     }
-    const std::size_t count = std::min(hellosPerStep, m_pendingHellos.size());
+    const std::size_t count = std::min(m_hellosPerStep, m_pendingHellos.size());
     for (const std::uint32_t machine : std::span(m_pendingHellos).last(count)) {
         if (const known_upstream *known = m_directory.find(machine))
             m_output.sendMessage(
--- a/packages/flow/tests/entry_balancer_test.cpp
+++ b/packages/flow/tests/entry_balancer_test.cpp
@@ -858,6 +858,19 @@
     CHECK_TRUE(hellos() < largeService / 4);
 }
 
+// Agents forget an instance after some missed hellos, so a round must not last longer than that.
+TEST(entry_balancer, HellosToAVeryLargeServiceAreSentWithinOneInterval)
+{
+    upstreams.upstreams.clear();
+    for (std::uint32_t machine = 1; machine <= 3600; ++machine)
+        upstreams.upstreams.push_back(record(machine));
+    publish(0);
+    for (std::int64_t at = 20; at < 500; at += 20)
+        balancer.tick(atMilliseconds(at));
+
+    CHECK_EQUAL(3600, hellos());
+}
+
 TEST(entry_balancer, IsReadyOnlyWithRoutesAndAfterTheFirstHellos)
 {
     CHECK_FALSE(balancer.ready(atMilliseconds(0)));
