Claim a flow to a searching instance when its packet acknowledges the upstream

Callers would see a packet of a flow reach all upstreams of its service, though its own got it first: after a change of the rotation during the handshake, the agent of the owner claims the flow only with the answer to the first request, which may take seconds, and the search goes on meanwhile.

Evidence: ProbeThatAcknowledgesTheUpstreamIsClaimedToItsSender fails without the change.

Why this works: the acknowledgement number tells which upstream's answer the client took, as for held requests (1 in 220,000 of other numbers lies in the range). The upstream gets the probe all the same; if it returns it, the denial ends the ownership. Only the searching instance gets the claim. ProbeThatAcknowledgesAnotherUpstreamIsNotClaimed guards the other side.

--- a/packages/flow/src/flow_agent.cpp
+++ b/packages/flow/src/flow_agent.cpp
@@ -100,7 +100,7 @@
                 std::min<std::size_t>(head->retransmitCount(), retransmitTimes.size() - 1);
         state.openingAt = now - retransmitTimes[retransmits];
     }
-    if (isProbe && (state.open || state.ended()))
+    if (isProbe && (holdsFlow(state, *head) || state.ended()))
         m_output.sendMessage(entry.address, flow_claim { { key } });
     state.finishedByClient = state.finishedByClient || head->finishes;
     closeIfEnded(state);
--- a/packages/flow/tests/flow_agent_test.cpp
+++ b/packages/flow/tests/flow_agent_test.cpp
@@ -660,6 +660,40 @@
     CHECK_EQUAL(3, portsOfRequests().size());
 }
 
+// The upstream may need seconds for its answer; meanwhile the search would send the packet to all
+// other upstreams.
+TEST(flow_agent, ProbeThatAcknowledgesTheUpstreamIsClaimedToItsSender)
+{
+    sendHello();
+    receive(opening(), 0);
+    packet_head head = fromUpstream();
+    head.opens = true;
+    head.sequence = 5000;
+    answer(head, 1);
+    head = fromClient(instruction::probe, 200);
+    head.acknowledgement = 5001;
+    receive(head, 2, otherEntry);
+
+    CHECK_EQUAL(1, output.sent<flow_claim>().size());
+    CHECK_EQUAL(otherEntry.address, output.messages.back().first);
+}
+
+// Another upstream may have answered a copy of the opening packet, and the client took that answer.
+TEST(flow_agent, ProbeThatAcknowledgesAnotherUpstreamIsNotClaimed)
+{
+    sendHello();
+    receive(opening(), 0);
+    packet_head head = fromUpstream();
+    head.opens = true;
+    head.sequence = 5000;
+    answer(head, 1);
+    head = fromClient(instruction::probe, 200);
+    head.acknowledgement = 4999;
+    receive(head, 2, otherEntry);
+
+    CHECK_EQUAL(0, output.sent<flow_claim>().size());
+}
+
 TEST(flow_agent, SummariesAreForwardedToOtherEntryInstances)
 {
     sendHello();
