--- a/packages/flow/tests/entry_balancer_test.cpp
+++ b/packages/flow/tests/entry_balancer_test.cpp
@@ -871,6 +871,20 @@
     CHECK_EQUAL(3600, hellos());
 }
 
+// Agents remove an instance after 3 s without a hello; it gets no claims and reports of them then.
+TEST(entry_balancer, EveryAgentOfAVeryLargeServiceGetsAHelloInTime)
+{
+    constexpr std::uint32_t veryLargeService = 3600;
+    upstreams.upstreams.clear();
+    for (std::uint32_t machine = 1; machine <= veryLargeService; ++machine)
+        upstreams.upstreams.push_back(record(machine));
+    publish(0);
+    for (std::int64_t at = 0; at < 3000; at += 20)
+        balancer.tick(atMilliseconds(at));
+
+    CHECK_TRUE(hellos() >= veryLargeService);
+}
+
 TEST(entry_balancer, IsReadyOnlyWithRoutesAndAfterTheFirstHellos)
 {
     CHECK_FALSE(balancer.ready(atMilliseconds(0)));
