--- a/packages/flow/tests/deployment_checks.cpp
+++ b/packages/flow/tests/deployment_checks.cpp
@@ -70,9 +70,26 @@
     if (calmSince(m_now, entryIndex, *m_upstreams[flow.owner - 1]))
         ++m_counts.judgedStrays;
     const auto arrival = flow.atOwner.find(head.sequence);
-    // A probe of a packet that its own upstream has got is not misrouted.
-    if (arrival == flow.atOwner.end() || m_now - arrival->second >= probeSpread)
-        flow.strays.push_back({ m_now, entryIndex, item.machine });
+    const bool isCopy = arrival != flow.atOwner.end() && m_now - arrival->second < probeSpread;
+    flow.strays.push_back({ m_now, entryIndex, item.machine, isCopy });
+    checkMisroutingPeriod(port, flow);
+}
+
+void deployment_simulation::eraseExcused(client_flow &flow)
+{
+    // A stray is excused by a disruption before it and by one since then.
+    const upstream &owner = *m_upstreams[flow.owner - 1];
+    std::erase_if(flow.strays,
+                  [&](const stray &item) { return !calmSince(item.at, item.entryIndex, owner); });
+}
+
+void deployment_simulation::checkMisroutingPeriod(std::uint16_t port, client_flow &flow)
+{
+    eraseExcused(flow);
+    if (flow.strays.size() >= misroutedPackets
+        && flow.strays.back().at - flow.strays.front().at >= misroutingTime)
+        reportViolation("packets of open flow " + std::to_string(port)
+                        + " reach other upstreams all the time");
 }
 
 void deployment_simulation::checkNewFlow(const upstream &item, const packet_head &head,
@@ -100,19 +117,21 @@
         flow.strays.clear();
         return;
     }
-    const upstream &owner = *m_upstreams[flow.owner - 1];
-    // A stray is excused by a disruption before it and by one since then.
-    std::erase_if(flow.strays,
-                  [&](const stray &item) { return !calmSince(item.at, item.entryIndex, owner); });
-    while (!flow.strays.empty() && m_now - flow.strays.front().at >= misroutingTime) {
-        const base::time_point end = flow.strays.front().at + misroutingTime;
-        const auto last = std::ranges::find_if(flow.strays,
-                                               [end](const stray &item) { return item.at >= end; });
-        const std::span<const stray> counted(flow.strays.begin(), last);
-        if (counted.size() >= misroutedPackets)
+    eraseExcused(flow);
+    // A probe of a packet that its own upstream has got is not misrouted.
+    const auto isMisrouted = [&](const stray &item) { return !item.isCopy; };
+    for (const stray &first : flow.strays) {
+        if (!isMisrouted(first))
+            continue;
+        const base::time_point end = first.at + misroutingTime;
+        if (end > m_now)
+            return;
+        const auto count = std::ranges::count_if(flow.strays, [&](const stray &item) {
+            return isMisrouted(item) && item.at >= first.at && item.at < end;
+        });
+        if (count >= static_cast<std::ptrdiff_t>(misroutedPackets))
             reportViolation("packets of open flow " + std::to_string(port)
                             + " do not reach its upstream");
-        flow.strays.erase(flow.strays.begin());
     }
 }
 
--- a/packages/flow/tests/deployment_parts.h
+++ b/packages/flow/tests/deployment_parts.h
@@ -111,6 +111,7 @@
     base::time_point at {};
     std::size_t entryIndex = 0; // that sent it
     std::uint32_t machine = 0;  // of the upstream
+    bool isCopy = false; // its own upstream got the same packet, as a probe of the same round
 };
 
 struct deployment_simulation::client_flow
--- a/packages/flow/tests/deployment_simulation.h
+++ b/packages/flow/tests/deployment_simulation.h
@@ -180,6 +180,8 @@
     void noteReset(client_flow &flow, std::uint16_t port, std::size_t entryIndex);
     void noteProcessed(upstream &item, const packet_head &head, std::size_t entryIndex);
     void checkNewFlow(const upstream &item, const packet_head &head, std::size_t entryIndex);
+    void eraseExcused(client_flow &flow);
+    void checkMisroutingPeriod(std::uint16_t port, client_flow &flow);
     void checkMisrouting();
     void checkMisrouting(std::uint16_t port, client_flow &flow);
     void checkConfigurationOrder(const entry &item);
