--- a/scripts/flow_mutants.sh
+++ b/scripts/flow_mutants.sh
@@ -19,7 +19,7 @@
     "draining-is-eligible|src/upstream_directory.cpp|s/ && known.record.phase == upstream_phase::ready//"
     "search-asks-one-upstream|src/owner_search.cpp|s/if (isDue(item))/if (isDue(item) \&\& due.empty())/"
     "search-waits-for-the-client|src/owner_search.cpp|s/if (!state.roundComplete)/if (false)/"
-    "silence-is-claimed|src/flow_agent.cpp|s/if (isProbe \&\& state.open)/if (isProbe)/"
+    "silence-is-claimed|src/flow_agent.cpp|s/if (isProbe \&\& (holdsFlow(state, \*head) || state.ended()))/if (isProbe)/"
     "opening-answer-is-claimed|src/flow_agent.cpp|s/if (!head->opens \&\& !head->resets/if (!head->resets/"
     "misdirected-is-a-denial|src/entry_balancer.cpp|s/if (head.tag.kind == instruction::misdirected \&\& mayServe/if (false \&\& mayServe/"
     "probes-are-held|src/flow_agent.cpp|s/begins \&\& mayHold \&\& holdsFlow(state, head)/begins/"
