--- a/scripts/flow_mutants.sh
+++ b/scripts/flow_mutants.sh
@@ -12,7 +12,7 @@
 
 # Format: name|file relative to packages/flow|sed expression that introduces the fault
 variants=(
-    "resets-without-denials|src/owner_search.cpp|s/if (!allDeny)/if (false)/"
+    "resets-without-denials|src/owner_search.cpp|s/if (!allDeny(\*route, state))/if (false)/"
     "resets-by-an-older-list|src/owner_search.cpp|s/const bool listIsNewer = .*/const bool listIsNewer = true;/"
     "older-configuration-accepted|src/view_exchange.cpp|s/if (configuration.version <= m_configuration.version)/if (configuration.version == m_configuration.version)/"
     "service-not-checked|src/flow_agent.cpp|s/if (head->tag.value != m_serviceDigest)/if (false)/"
