--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -97,8 +97,8 @@
         // another service since then.
         std::uint32_t serviceDigest = 0;
         std::uint8_t refusals = 0; // of the opening packet, and returns without an answer
-        bool mayBeAccepted =
-                false;          // by an upstream that has not answered the opening packet in time
+        // An upstream that has not answered the opening packet in time may still accept it.
+        bool mayBeAccepted = false;
         bool confirmed = false; // an agent claimed the flow
     };
     struct candidate
@@ -155,6 +155,7 @@
     void resetClient(const packet_head &head, std::string_view reason, base::time_point now);
     // Continues all searches and ends those that have a result or have expired.
     void updateSearches(base::time_point now);
+    // Whether the upstream on the machine may hold a flow of the route.
     bool mayHoldFlow(const flow_route &route, std::uint32_t machine) const;
     // Whether no candidate holds the flow, by the answers so far and by the current list.
     bool allDeny(const flow_route &route, const search &state) const;
--- a/packages/flow/include/oriolehold/flow/flow_agent.h
+++ b/packages/flow/include/oriolehold/flow/flow_agent.h
@@ -92,7 +92,7 @@
         base::time_point lastHelloAt {};
         std::uint32_t claimsLeft = 0; // further hellos that are answered with claims of all flows
     };
-    // A probe that a running upstream returns or answers.
+    // A probe with data, which a running upstream returns or answers.
     struct pending_probe
     {
         base::time_point deliveredAt {};
@@ -139,7 +139,8 @@
     // Removes the flow with its running or held request.
     void removeFlow(const flow_key &key, base::time_point now);
     void broadcastClaim(const flow_claim &claim);
-    // An ended flow is claimed to instances that search it, and to no others.
+    // Closes the flow if both ends have finished it. It is claimed only to instances that search it
+    // then.
     void closeIfEnded(flow_state &state);
     // Sends claims of all open flows to the entry instance on the machine.
     void claimAllFlows(std::uint32_t machine);
