Log the history and revision of each read of the store

Whether a read was a full one, found lost history or found nothing new could not be told from the logs, nor which history it was of.

The HTTP client returns response headers. No logic is changed.

--- a/packages/runtime/include/oriolehold/runtime/http_client.h
+++ b/packages/runtime/include/oriolehold/runtime/http_client.h
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -13,6 +14,7 @@
 {
     unsigned status = 0;
     std::string body;
+    std::map<std::string, std::string> headers; // names in lower case
 };
 
 // Sends GET http://server<path>?<query> on a new connection and blocks until the response is
--- a/packages/runtime/include/oriolehold/runtime/log_events.h
+++ b/packages/runtime/include/oriolehold/runtime/log_events.h
@@ -89,6 +89,7 @@
     storeReachable = 7017,
     flowOwnerChanged = 7018,
     flowSearchEnded = 7019,
+    storeRead = 7020,
 };
 
 enum class log_level : std::uint8_t { debug, info, warning, error };
--- a/packages/runtime/src/http_client.cpp
+++ b/packages/runtime/src/http_client.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 #include <exception>
 #include <istream>
 
@@ -52,10 +53,23 @@
         }
         if (!m_finished || m_tooLarge)
             return std::nullopt;
-        return http_response { m_client.header().httpReturnCode(), std::move(m_body) };
+        return http_response { m_client.header().httpReturnCode(), std::move(m_body), headers() };
     }
 
 private:
+    std::map<std::string, std::string> headers() const
+    {
+        std::map<std::string, std::string> result;
+        for (const auto &[name, value] : m_client.header()) {
+            std::string key(name);
+            std::ranges::transform(key, key.begin(), [](unsigned char letter) {
+                return static_cast<char>(std::tolower(letter));
+            });
+            result[key] = value;
+        }
+        return result;
+    }
+
     void onFinished(cxxtools::http::Client &client)
     {
         m_finished = true;
--- a/packages/runtime/src/log_events.cpp
+++ b/packages/runtime/src/log_events.cpp
@@ -141,6 +141,8 @@
           "An agent claimed a flow that another agent had claimed before." },
         { log_event::flowSearchEnded, "flow-search-ended", log_level::info, decisionInterval,
           "A search ended without an owner and without a reset." },
+        { log_event::storeRead, "store-read", log_level::info, 0ms,
+          "The store was read; the fields tell which history and revision the content is from." },
 });
 
 // Most lines that are queued for a slow reader of the output.
--- a/packages/runtime/tests/fake_http_server.h
+++ b/packages/runtime/tests/fake_http_server.h
@@ -14,6 +14,7 @@
 #include <unistd.h>
 
 #include <functional>
+#include <map>
 #include <string>
 #include <thread>
 #include <tuple>
@@ -41,6 +42,7 @@
 {
     unsigned status = 200;
     std::string body;
+    std::map<std::string, std::string> headers {};
 };
 
 class fake_http_server
@@ -76,6 +78,8 @@
         {
             const fake_response response = m_handle(request.header().query());
             reply.httpReturn(response.status, "test");
+            for (const auto &[name, value] : response.headers)
+                reply.setHeader(name.c_str(), value.c_str());
             out << response.body;
         }
 
