Order lists of upstreams by the era and revision of the store

A list, a summary or a page of a lower revision was refused by view_exchange and upstream_directory. After a restore the revisions are lower, so that every list was refused until they had passed the former ones; each instance then read for itself, in vain.

Change: the revision of a list is a store_revision, era first, in lists, summaries and on the wire. The era comes last in both messages, so that processes of the former release still understand them. A page is identified by the hash of its document, not by the digest of the content: the content may be the same before and after a restore, and a mixture of pages would have a revision that does not exist.

Tests: ListOfARestoredStoreReplacesTheFormerOne, SummaryOfARestoredStoreConfirmsTheSameContent, ListFromBeforeARestoreIsIgnored and SeedsOfRefusedListsPass fail on the former comparison. The runs check that the view of an undisturbed instance is not older than 3 s, and check DRAIN for the present calm instead of the calm since the drain began, which is stricter. Wrong variant lists-of-former-eras-kept added.

--- a/packages/entry/bench/flow_path_bench.cpp
+++ b/packages/entry/bench/flow_path_bench.cpp
@@ -55,7 +55,7 @@
         configuration.version = 1;
         configuration.routes = { { service, { { "orders", 1 } }, 1, 100ms, 1500ms } };
         upstream_list list;
-        list.revision = 1;
+        list.revision = { 1, 1 };
         for (std::uint32_t i = 0; i < upstreams; ++i)
             list.upstreams.push_back({ std::to_string(i),
                                        "orders",
--- a/packages/flow/include/oriolehold/flow/peer_message.h
+++ b/packages/flow/include/oriolehold/flow/peer_message.h
@@ -15,7 +15,7 @@
 struct view_summary
 {
     std::uint64_t configurationVersion = 0;
-    std::uint64_t upstreamRevision = 0;
+    store_revision upstreamRevision;
     std::uint64_t upstreamDigest = 0; // of the list without its revision; 0: no list
     base::duration age {};            // time since the read began
 
@@ -37,7 +37,7 @@
 struct view_page
 {
     document_kind kind = document_kind::configuration;
-    std::uint64_t id = 0;    // version of a configuration, digest of a list of upstreams
+    std::uint64_t id = 0;    // version of a configuration, hash of an encoded list of upstreams
     base::duration age {};   // time since the read began
     std::uint16_t index = 0; // of this page, from 0
     std::uint16_t count = 0; // pages of the document
--- a/packages/flow/include/oriolehold/flow/routing_view.h
+++ b/packages/flow/include/oriolehold/flow/routing_view.h
@@ -80,7 +80,7 @@
 
 struct upstream_list
 {
-    std::uint64_t revision = 0; // of the store, at the time of the read
+    store_revision revision; // at the time of the read
     std::vector<upstream_record> upstreams;
 
     bool operator==(const upstream_list &) const = default;
@@ -92,6 +92,7 @@
     refused,     // the store rejected the call
     malformed,   // the answer does not have the published form
     absent,      // nothing is published yet
+    restored,    // the store was restored between the pages of the answer
 };
 
 std::string_view toString(read_failure failure);
--- a/packages/flow/include/oriolehold/flow/upstream_directory.h
+++ b/packages/flow/include/oriolehold/flow/upstream_directory.h
@@ -74,13 +74,13 @@
 
     bool empty() const { return m_upstreams.empty(); }
     // Of the store, at the read of the current list.
-    std::uint64_t revision() const { return m_revision; }
+    store_revision revision() const { return m_revision; }
     // Time of the read that the current list comes from; epoch before the first.
     base::time_point readAt() const { return m_readAt; }
 
 private:
     boost::unordered_flat_map<std::uint32_t, known_upstream> m_upstreams; // by machine address
-    std::uint64_t m_revision = 0;
+    store_revision m_revision;
     base::time_point m_readAt {};
     base::time_point m_outageEndedAt {}; // epoch: no outage so far
     base::time_point m_heardAt {};       // last message of any agent
--- a/packages/flow/src/routing_view.cpp
+++ b/packages/flow/src/routing_view.cpp
@@ -17,6 +17,8 @@
         return "malformed";
     case read_failure::absent:
         return "absent";
+    case read_failure::restored:
+        return "restored";
     }
     return "unknown";
 }
--- a/packages/flow/src/view_exchange.cpp
+++ b/packages/flow/src/view_exchange.cpp
@@ -11,6 +11,11 @@
 // Larger documents are rejected. 4 MB hold 60,000 upstreams.
 constexpr std::uint16_t maxPages = 4096;
 
+std::uint64_t hashOf(const base::byte_vector &bytes)
+{
+    return base::fnv1a(base::byte_view(bytes));
+}
+
 } // namespace
 
 view_exchange::view_exchange(const document_codec &codec, message_output &output,
@@ -21,12 +26,10 @@
 std::uint64_t view_exchange::digestOf(const upstream_list &list) const
 {
     upstream_list content = list;
-    content.revision = 0;
+    content.revision = {};
     for (upstream_record &record : content.upstreams)
         record.warmUpLeft = {}; // differs in every read; the value of the first read is kept
-    const base::byte_vector bytes = m_codec.encode(content);
-    const std::uint64_t hash = base::fnv1a(base::byte_view(bytes));
-    return std::max<std::uint64_t>(hash, 1);
+    return std::max<std::uint64_t>(hashOf(m_codec.encode(content)), 1);
 }
 
 void view_exchange::applyConfiguration(const flow_configuration &configuration)
@@ -71,9 +74,10 @@
         if (request->configuration && m_configuration.version != 0)
             sendDocument(machine, document_kind::configuration, m_configuration.version,
                          m_codec.encode(m_configuration), now);
-        if (request->upstreams && m_digest != 0)
-            sendDocument(machine, document_kind::upstreams, m_digest, m_codec.encode(m_upstreams),
-                         now);
+        if (request->upstreams && m_digest != 0) {
+            const base::byte_vector bytes = m_codec.encode(m_upstreams);
+            sendDocument(machine, document_kind::upstreams, hashOf(bytes), bytes, now);
+        }
     }
     return false;
 }
@@ -112,7 +116,7 @@
     }
     const auto bytes = assemble(m_upstreamPages, page);
     const auto list = bytes ? m_codec.decodeUpstreams(*bytes) : std::nullopt;
-    return list && setUpstreams(*list, page.id, now - page.age - transferTime, now);
+    return list && setUpstreams(*list, digestOf(*list), now - page.age - transferTime, now);
 }
 
 std::optional<base::byte_vector> view_exchange::assemble(assembly &state, const view_page &page)
--- a/packages/flow/tests/claim_exchange_test.cpp
+++ b/packages/flow/tests/claim_exchange_test.cpp
@@ -50,7 +50,7 @@
         record.address = { agentMachine, 8080 };
         record.zone = "zone-a";
         upstream_list list;
-        list.revision = 1;
+        list.revision = { 1, 1 };
         list.upstreams = { record };
         balancer.finishRead(routes, list, atMilliseconds(at), atMilliseconds(at));
     }
--- a/packages/flow/tests/deployment_checks.cpp
+++ b/packages/flow/tests/deployment_checks.cpp
@@ -101,7 +101,7 @@
     if (head.destination != expected)
         reportViolation("a new flow reached an upstream of another service");
     if (item.draining && m_now - item.drainingSince > drainLimit
-        && calmSince(item.drainingSince, entryIndex, item))
+        && calmSince(m_now, entryIndex, item))
         reportViolation("a draining upstream got a new flow");
 }
 
@@ -143,22 +143,28 @@
         reportViolation("an entry instance returned to an older configuration");
 }
 
-void deployment_simulation::checkConfigurationInForce()
+void deployment_simulation::checkViews()
 {
     if (!storeCalmSince(m_now))
         return;
-    const auto due = std::ranges::find_if(
-            m_acknowledgedVersions.rbegin(), m_acknowledgedVersions.rend(),
-            [this](const auto &item) { return item.first + configurationLimit <= m_now; });
-    if (due == m_acknowledgedVersions.rend())
-        return;
     for (const auto &item : m_entries) {
         const base::time_point disrupted = std::max(item->startedAt, item->disruptedUntil);
-        if (item->running && disrupted + recoveryTime <= m_now
-            && item->balancer->view().configuration().version < due->second)
-            reportViolation("version " + std::to_string(due->second)
-                            + " of the configuration is not in force on an entry instance");
+        if (item->running && disrupted + recoveryTime <= m_now)
+            checkView(item->balancer->view());
     }
 }
 
+void deployment_simulation::checkView(const view_exchange &view)
+{
+    // An upstream may have begun to drain since the read of the list.
+    if (m_now - view.readAt() > drainLimit)
+        reportViolation("the list of upstreams of an entry instance is old");
+    const auto due = std::ranges::find_if(
+            m_acknowledgedVersions.rbegin(), m_acknowledgedVersions.rend(),
+            [this](const auto &item) { return item.first + configurationLimit <= m_now; });
+    if (due != m_acknowledgedVersions.rend() && view.configuration().version < due->second)
+        reportViolation("version " + std::to_string(due->second)
+                        + " of the configuration is not in force on an entry instance");
+}
+
 } // namespace oriolehold::flow
--- a/packages/flow/tests/deployment_simulation.cpp
+++ b/packages/flow/tests/deployment_simulation.cpp
@@ -481,7 +481,7 @@
     }
     repeat(100ms, [this] {
         checkMisrouting();
-        checkConfigurationInForce();
+        checkViews();
     });
     repeat(tickInterval, [this] { tickAll(); });
     for (std::size_t i = 0; i < m_entries.size(); ++i)
--- a/packages/flow/tests/deployment_simulation.h
+++ b/packages/flow/tests/deployment_simulation.h
@@ -202,7 +202,8 @@
     void checkMisrouting();
     void checkMisrouting(std::uint16_t port, client_flow &flow);
     void checkConfigurationOrder(const entry &item);
-    void checkConfigurationInForce();
+    void checkViews();
+    void checkView(const view_exchange &view);
     // Whether the upstream that holds the flow lives.
     bool ownerLives(std::uint16_t port, const client_flow &flow) const;
     // Whether the two machines, the link between them and the store have had no unplanned
--- a/packages/flow/tests/entry_balancer_test.cpp
+++ b/packages/flow/tests/entry_balancer_test.cpp
@@ -43,6 +43,7 @@
     entry_balancer balancer { { 7, "zone-a", { 99 } }, codec, documents, policy, output, observer };
     flow_configuration routes;
     upstream_list upstreams;
+    std::uint64_t era = 1;
     std::uint64_t revision = 0;
 
     void setup() override
@@ -54,7 +55,7 @@
 
     void publish(std::int64_t at)
     {
-        upstreams.revision = ++revision;
+        upstreams.revision = { era, ++revision };
         balancer.finishRead(routes, upstreams, atMilliseconds(at), atMilliseconds(at));
     }
 
@@ -405,7 +406,7 @@
     receive(packet(), 1000);
     denyAll(1002);
     view_summary summary = balancer.view().summary(atMilliseconds(1010));
-    summary.upstreamRevision += 1;
+    summary.upstreamRevision.number += 1;
     summary.age = {};
     balancer.receiveMessage(1, summary, atMilliseconds(1010));
     balancer.tick(atMilliseconds(1011));
@@ -815,7 +816,7 @@
 {
     publish(0);
     view_summary summary = balancer.view().summary(atMilliseconds(1500));
-    summary.upstreamRevision += 1;
+    summary.upstreamRevision.number += 1;
     summary.age = {};
     balancer.receiveMessage(1, summary, atMilliseconds(1500));
 
--- a/packages/flow/tests/flow_agent_test.cpp
+++ b/packages/flow/tests/flow_agent_test.cpp
@@ -698,12 +698,12 @@
 {
     sendHello();
     upstream_list list;
-    list.revision = 4;
+    list.revision = { 1, 4 };
     agent.receiveMessage(
             60, view_page { document_kind::upstreams, 77, {}, 0, 1, documents.encode(list) },
             atMilliseconds(10));
 
     const auto summary = output.sent<view_summary>();
     CHECK_EQUAL(1, summary.size());
-    CHECK_EQUAL(4, summary[0].upstreamRevision);
+    CHECK_TRUE(summary[0].upstreamRevision == list.revision);
 }
--- a/packages/flow/tests/flow_random_test.cpp
+++ b/packages/flow/tests/flow_random_test.cpp
@@ -80,6 +80,17 @@
     }
 }
 
+// Lists of a restored store were refused until its revisions had passed the former ones.
+TEST(flow_random, SeedsOfRefusedListsPass)
+{
+    for (const std::uint64_t seed : { 101, 120, 3282 }) {
+        deployment_simulation simulation(seed,
+                                         deployment_simulation::store_history::restoredAtTimes);
+        const std::string violation = simulation.run(std::chrono::seconds { 30 });
+        CHECK_TRUE_TEXT(violation.empty(), violation.c_str());
+    }
+}
+
 // The checks of a run are only meaningful if it has traffic, faults and resets.
 TEST(flow_random, RunsIncludeTrafficAndFaults)
 {
--- a/packages/flow/tests/flow_simulation.cpp
+++ b/packages/flow/tests/flow_simulation.cpp
@@ -291,7 +291,7 @@
 upstream_list flow_simulation::currentList() const
 {
     upstream_list list;
-    list.revision = m_revision;
+    list.revision.number = m_revision;
     for (const auto &item : m_upstreams) {
         if (!item->alive)
             continue;
--- a/packages/flow/tests/simulated_store.cpp
+++ b/packages/flow/tests/simulated_store.cpp
@@ -48,7 +48,7 @@
 upstream_list simulated_store::upstreams() const
 {
     upstream_list list;
-    list.revision = m_content.revision;
+    list.revision = revision();
     for (const auto &[id, record] : m_content.upstreams)
         list.upstreams.push_back(record);
     return list;
--- a/packages/flow/tests/view_exchange_test.cpp
+++ b/packages/flow/tests/view_exchange_test.cpp
@@ -18,7 +18,7 @@
     }
     void upstreamsUpdated(const upstream_list &list, base::time_point, base::time_point) override
     {
-        revisions.push_back(list.revision);
+        revisions.push_back(list.revision.number);
     }
 
     std::vector<std::uint64_t> versions;
@@ -32,10 +32,10 @@
     return result;
 }
 
-upstream_list listOf(std::uint64_t revision, std::string id)
+upstream_list listOf(std::uint64_t revision, std::string id, std::uint64_t era = 1)
 {
     upstream_list list;
-    list.revision = revision;
+    list.revision = { era, revision };
     list.upstreams.emplace_back();
     list.upstreams.back().id = std::move(id);
     return list;
@@ -120,6 +120,42 @@
             atMilliseconds(110)));
 }
 
+// The revisions of a restored store begin again at lower ones; an instance that refuses its lists
+// keeps entries of upstreams that drain or have left.
+TEST(view_exchange, ListOfARestoredStoreReplacesTheFormerOne)
+{
+    reader.applyUpstreams(listOf(10, "a"), atMilliseconds(0), atMilliseconds(0));
+    sendSummary(5);
+    reader.applyUpstreams(listOf(4, "b", 2), atMilliseconds(1000), atMilliseconds(1000));
+    sendSummary(1005);
+
+    CHECK_EQUAL(2, listener.revisions.size());
+    CHECK_EQUAL(2, otherListener.revisions.size());
+    CHECK_EQUAL(4, otherListener.revisions.back());
+}
+
+// The summary of a restored store with unchanged content confirms the view like any other.
+TEST(view_exchange, SummaryOfARestoredStoreConfirmsTheSameContent)
+{
+    reader.applyUpstreams(listOf(10, "a"), atMilliseconds(0), atMilliseconds(0));
+    sendSummary(5);
+    reader.applyUpstreams(listOf(4, "a", 2), atMilliseconds(1000), atMilliseconds(1000));
+    sendSummary(1005);
+
+    CHECK_TRUE(receiver.readAt() == atMilliseconds(1000) - view_exchange::transferTime);
+}
+
+// An instance that was cut off may not know of the restore yet. Its content is older, although its
+// revision is higher.
+TEST(view_exchange, ListFromBeforeARestoreIsIgnored)
+{
+    receiver.applyUpstreams(listOf(4, "b", 2), atMilliseconds(0), atMilliseconds(0));
+    reader.applyUpstreams(listOf(10, "a"), atMilliseconds(1000), atMilliseconds(1000));
+    sendSummary(1005);
+
+    CHECK_EQUAL(1, otherListener.revisions.size());
+}
+
 TEST(view_exchange, PagesOfTwoDocumentsAreNotMixed)
 {
     base::byte_vector bytes = codec.encode(configurationOf(9));
@@ -137,6 +173,19 @@
                                 atMilliseconds(0)));
 }
 
+// The content of two lists may be the same before and after a restore of the store. A mixture of
+// their pages would have a revision that does not exist.
+TEST(view_exchange, PagesOfTheSameContentAtTwoRevisionsAreNotMixed)
+{
+    const auto pageId = [this](const upstream_list &list, std::int64_t at) {
+        reader.applyUpstreams(list, atMilliseconds(at), atMilliseconds(at));
+        reader.receive(2, view_request { false, true }, atMilliseconds(at));
+        return output.sent<view_page>().back().id;
+    };
+
+    CHECK_TRUE(pageId(listOf(10, "a"), 0) != pageId(listOf(4, "a", 2), 1000));
+}
+
 TEST(view_exchange, PageOutsideItsDocumentIsIgnored)
 {
     CHECK_FALSE(receiver.receive(1, view_page { document_kind::configuration, 9, {}, 2, 2, { 1 } },
--- a/packages/wire/src/flow_codec.cpp
+++ b/packages/wire/src/flow_codec.cpp
@@ -51,8 +51,9 @@
 template<typename Archive>
 void serialize(Archive &archive, view_summary &value)
 {
-    archive(value.configurationVersion, value.upstreamRevision, value.upstreamDigest,
-            microseconds { value.age });
+    // The era comes last, because receivers without it ignore what follows the fields they know.
+    archive(value.configurationVersion, value.upstreamRevision.number, value.upstreamDigest,
+            microseconds { value.age }, value.upstreamRevision.era);
 }
 
 template<typename Archive>
@@ -100,7 +101,8 @@
 template<typename Archive>
 void serialize(Archive &archive, upstream_list &value)
 {
-    archive(value.revision, length_prefixed_list<upstream_record> { value.upstreams });
+    archive(value.revision.number, length_prefixed_list<upstream_record> { value.upstreams },
+            value.revision.era);
 }
 
 } // namespace flow
--- a/packages/wire/tests/flow_codec_test.cpp
+++ b/packages/wire/tests/flow_codec_test.cpp
@@ -15,7 +15,7 @@
              flow::load_report { 8, 3, 2500, 120, 13ms, false },
              flow::flow_claim { { key, key } },
              flow::flow_denial { key, 0x123456, true },
-             flow::view_summary { 5, 6, 7, 250ms },
+             flow::view_summary { 5, { 2, 6 }, 7, 250ms },
              flow::view_request { true, false },
              flow::view_page { flow::document_kind::upstreams, 9, 1s, 1, 3,
                                base::byte_vector(1000, 0x5a) } };
@@ -41,7 +41,7 @@
 flow::upstream_list listExample()
 {
     flow::upstream_list list;
-    list.revision = 44;
+    list.revision = { 2, 44 };
     list.upstreams = { { "i-1",
                          "orders",
                          { 3, 4 },
@@ -97,6 +97,19 @@
         CHECK_FALSE(documents.decodeConfiguration(base::byte_view(whole).first(size)).has_value());
 }
 
+// During an update, processes without a newer field at the end must understand the others.
+TEST(flow_codec, FieldsAfterTheKnownOnesAreIgnored)
+{
+    for (const flow::peer_message &message : examples()) {
+        base::byte_vector longer = encoded(message);
+        longer.insert(longer.end(), sizeof(std::uint64_t), 0x5a);
+        const auto read = wire::decodeFlowMessage(longer);
+
+        CHECK_TRUE(read.has_value());
+        CHECK_TRUE(*read == message);
+    }
+}
+
 // Processes of another release may use another layout of messages.
 TEST(flow_codec, UnknownProtocolVersionIsRejected)
 {
--- a/scripts/flow_mutants.sh
+++ b/scripts/flow_mutants.sh
@@ -23,6 +23,7 @@
     "opening-answer-is-claimed|src/flow_agent.cpp|s/if (!head->opens \&\& !head->resets/if (!head->resets/"
     "misdirected-is-a-denial|src/entry_balancer.cpp|s/if (head.tag.kind == instruction::misdirected \&\& mayServe/if (false \&\& mayServe/"
     "eras-not-compared|src/history_cursor.cpp|s/ || revision.era != m_position->era//; s/revision < \*m_position/revision.number < m_position->number/"
+    "lists-of-former-eras-kept|src/view_exchange.cpp|s/list.revision < m_upstreams.revision/list.revision.number < m_upstreams.revision.number/"
     "probes-are-held|src/flow_agent.cpp|s/begins \&\& mayHold \&\& holdsFlow(state, head)/begins/"
 )
 
