Keep upstreams listed that a restored store does not have yet

What callers would see: new flows are refused or crowd on a few upstreams, because those that registered after the copy are taken as removed at the first list of the restored store, up to two seconds before they write again.

Cause: an entry instance waits for entries that lapsed while the store was away, but recognises an outage by the gap between two lists only. A restore may take less. Class as before: a list of a new history is compared with one of the former.

Change: a list of another era counts like one after an outage; missing entries stay listed for 2.5 s.

Test: UpstreamMissingAfterARestoreOfTheStoreStaysListed fails without it (one change more).

--- a/packages/flow/include/oriolehold/flow/upstream_directory.h
+++ b/packages/flow/include/oriolehold/flow/upstream_directory.h
@@ -39,7 +39,8 @@
 class upstream_directory
 {
 public:
-    // Upstreams whose entries lapsed in an outage of the store register again this soon after it.
+    // Upstreams whose entries lapsed in an outage of the store, or are missing in the copy that it
+    // was restored from, register again this soon after it.
     static constexpr std::chrono::milliseconds reregistrationTime { 2500 };
     // A removed upstream may still hold flows. The search for an owner includes it for this time.
     static constexpr std::chrono::seconds removedRetention { 20 };
@@ -82,7 +83,7 @@
     boost::unordered_flat_map<std::uint32_t, known_upstream> m_upstreams; // by machine address
     store_revision m_revision;
     base::time_point m_readAt {};
-    base::time_point m_outageEndedAt {}; // epoch: no outage so far
+    base::time_point m_outageEndedAt {}; // or restore; epoch: none so far
     base::time_point m_heardAt {};       // last message of any agent
 };
 
--- a/packages/flow/src/upstream_directory.cpp
+++ b/packages/flow/src/upstream_directory.cpp
@@ -10,7 +10,8 @@
 {
     if (list.revision < m_revision || readAt < m_readAt)
         return false;
-    if (m_readAt != base::time_point {} && readAt - m_readAt > outageGap)
+    const bool restored = list.revision.era != m_revision.era;
+    if (m_readAt != base::time_point {} && (restored || readAt - m_readAt > outageGap))
         m_outageEndedAt = now;
     m_revision = list.revision;
     m_readAt = readAt;
--- a/packages/flow/tests/entry_balancer_test.cpp
+++ b/packages/flow/tests/entry_balancer_test.cpp
@@ -823,6 +823,22 @@
     CHECK_FALSE(balancer.readDue(atMilliseconds(2400)));
 }
 
+// The copy that a store is restored from lacks upstreams that registered after it. They register
+// again within two seconds; until then they must not be taken as removed.
+TEST(entry_balancer, UpstreamMissingAfterARestoreOfTheStoreStaysListed)
+{
+    publish(0);
+    const int changes = observer.changes;
+    ++era;
+    revision = 0;
+    std::erase_if(upstreams.upstreams, [](const auto &item) { return item.id == "i-2"; });
+    publish(1000);
+    publish(2000);
+    CHECK_EQUAL(changes, observer.changes);
+    publish(3600);
+    CHECK_EQUAL(changes + 1, observer.changes);
+}
+
 // The request of the configuration, or its pages, may get lost on a link while summaries arrive and
 // keep the view young.
 TEST(entry_balancer, InstanceWhoseConfigurationDoesNotArriveReadsTheStore)
