--- a/packages/daemon/include/oriolehold/daemon/decision_log.h
+++ b/packages/daemon/include/oriolehold/daemon/decision_log.h
@@ -20,6 +20,8 @@
     void decisionMade(const flow::flow_decision &decision) override;
     void directoryChanged(const flow::directory_change &change) override;
     void routesChanged(const flow::flow_configuration &configuration) override;
+    void storeRestored(const flow::store_revision &former,
+                       const flow::store_revision &present) override;
 
     // Histograms in the Prometheus text format: request times by priority in an agent, search times
     // in an entry instance. Can be called by any thread.
--- a/packages/daemon/src/decision_log.cpp
+++ b/packages/daemon/src/decision_log.cpp
@@ -125,4 +125,14 @@
             { { "version", configuration.version }, { "routes", configuration.routes.size() } });
 }
 
+void decision_log::storeRestored(const flow::store_revision &former,
+                                 const flow::store_revision &present)
+{
+    runtime::log(log_event::storeRestored,
+                 { { "former_era", former.era },
+                   { "former_revision", former.number },
+                   { "era", present.era },
+                   { "revision", present.number } });
+}
+
 } // namespace oriolehold::daemon
--- a/packages/entry/src/flow_entry_daemon.cpp
+++ b/packages/entry/src/flow_entry_daemon.cpp
@@ -229,6 +229,7 @@
     counter("flow_owner_changes_total", m_publishedCounters.changed);
     counter("flow_resets_total", m_publishedCounters.resets);
     counter("packets_dropped_total", m_publishedCounters.dropped);
+    counter("store_restores_total", m_publishedCounters.storeRestores);
     return text + m_log.histograms();
 }
 
--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -48,6 +48,7 @@
     std::uint64_t changed = 0;   // claims for a flow that another agent had claimed before
     std::uint64_t resets = 0;    // sent to clients
     std::uint64_t dropped = 0;   // packets discarded
+    std::uint64_t storeRestores = 0;
 };
 
 class entry_balancer final : private view_listener
--- a/packages/flow/include/oriolehold/flow/flow_observer.h
+++ b/packages/flow/include/oriolehold/flow/flow_observer.h
@@ -60,6 +60,11 @@
     virtual void decisionMade(const flow_decision &decision) = 0;
     virtual void directoryChanged(const directory_change &change) = 0;
     virtual void routesChanged(const flow_configuration &configuration) = 0;
+    // A list is from another era of the store than the one before. Does nothing by default: agents
+    // use no lists.
+    virtual void storeRestored(const store_revision & /*former*/,
+                               const store_revision & /*present*/)
+    { }
 };
 
 } // namespace oriolehold::flow
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -288,6 +288,11 @@
     m_lastListAt = now;
     m_nextSearchUpdate = now;
     const bool first = m_directory.readAt() == base::time_point {};
+    const store_revision former = m_directory.revision();
+    if (!first && list.revision.era != former.era) {
+        ++m_counters.storeRestores;
+        m_observer.storeRestored(former, list.revision);
+    }
     m_directory.update(list, readAt, now, [this](const directory_change &change) {
         m_observer.directoryChanged(change);
     });
--- a/packages/flow/tests/entry_balancer_test.cpp
+++ b/packages/flow/tests/entry_balancer_test.cpp
@@ -834,6 +834,7 @@
     std::erase_if(upstreams.upstreams, [](const auto &item) { return item.id == "i-2"; });
     publish(1000);
     publish(2000);
+    CHECK_EQUAL(1, observer.restores);
     CHECK_EQUAL(changes, observer.changes);
     publish(3600);
     CHECK_EQUAL(changes + 1, observer.changes);
--- a/packages/flow/tests/flow_fakes.h
+++ b/packages/flow/tests/flow_fakes.h
@@ -129,8 +129,11 @@
         versions.push_back(configuration.version);
     }
 
+    void storeRestored(const store_revision &, const store_revision &) override { ++restores; }
+
     std::map<decision_kind, int> decisions;
     int changes = 0;
+    int restores = 0; // of the store
     std::vector<std::uint64_t> versions;
 };
 
--- a/packages/runtime/include/oriolehold/runtime/log_events.h
+++ b/packages/runtime/include/oriolehold/runtime/log_events.h
@@ -90,6 +90,7 @@
     flowOwnerChanged = 7018,
     flowSearchEnded = 7019,
     storeRead = 7020,
+    storeRestored = 7021,
 };
 
 enum class log_level : std::uint8_t { debug, info, warning, error };
--- a/packages/runtime/src/log_events.cpp
+++ b/packages/runtime/src/log_events.cpp
@@ -143,6 +143,8 @@
           "A search ended without an owner and without a reset." },
         { log_event::storeRead, "store-read", log_level::info, 0ms,
           "The store was read; the fields tell which history and revision the content is from." },
+        { log_event::storeRestored, "store-restored", log_level::warning, 0ms,
+          "The store was restored from a copy; its revisions begin again at a lower one." },
 });
 
 // Most lines that are queued for a slow reader of the output.
