Keep an upstream draining when a restored store calls it ready

What callers would see: new flows at an upstream that is about to end (DRAIN), between a restore of the store and the upstream's next entry.

Cause: an entry of the same start of an upstream was always taken as newer than the known one. In the copy that the store is restored from, an upstream that drains by now is ready.

Change: within one start of an upstream, draining is final. An entry without a start time is taken as it is, because a restart could not be told.

Test: UpstreamStillDrainsAfterARestoreOfTheStore fails without it. Found by reading; no run showed it.

--- a/packages/flow/include/oriolehold/flow/routing_view.h
+++ b/packages/flow/include/oriolehold/flow/routing_view.h
@@ -73,7 +73,7 @@
     std::uint32_t slots = 1; // requests processed at the same time
     upstream_phase phase = upstream_phase::ready;
     std::chrono::milliseconds warmUpLeft {}; // remaining time, from the read, of its slow start
-    std::uint64_t incarnation = 0;           // higher after a restart of the upstream
+    std::uint64_t incarnation = 0;           // higher after a restart of the upstream; 0: unknown
 
     bool operator==(const upstream_record &) const = default;
 };
--- a/packages/flow/src/upstream_directory.cpp
+++ b/packages/flow/src/upstream_directory.cpp
@@ -23,17 +23,23 @@
                 && (known.record.id != record.id || known.record.incarnation != record.incarnation);
         if (restarted && known.record.incarnation > record.incarnation)
             continue; // a former upstream of the address; its entry has not lapsed yet
+        // An upstream does not end its drain before it restarts. An entry that says so is older
+        // than the known one, as in a store that was restored from a copy.
+        const bool drains = !added && !restarted && record.incarnation != 0
+                && known.record.phase == upstream_phase::draining;
         if (added)
             onChange({ change::added, record.id, record.address });
         else if (restarted)
             onChange({ change::restarted, record.id, record.address });
-        else if (known.record.phase != record.phase)
+        else if (known.record.phase != record.phase && !drains)
             onChange({ change::phaseChanged, record.id, record.address });
         if (restarted)
             known = {};
         if (added || restarted)
             known.heardAt = now;
         known.record = record;
+        if (drains)
+            known.record.phase = upstream_phase::draining;
         known.listed = true;
         known.seenInList = readAt;
         known.warmUpEndsAt = readAt + record.warmUpLeft;
--- a/packages/flow/tests/entry_balancer_test.cpp
+++ b/packages/flow/tests/entry_balancer_test.cpp
@@ -823,6 +823,26 @@
     CHECK_FALSE(balancer.readDue(atMilliseconds(2400)));
 }
 
+// In the copy that a store is restored from, an upstream that drains by now is ready. New flows must
+// not go there until the upstream has restarted.
+TEST(entry_balancer, UpstreamStillDrainsAfterARestoreOfTheStore)
+{
+    upstreams.upstreams = { record(1) };
+    upstreams.upstreams[0].phase = upstream_phase::draining;
+    publish(0);
+    ++era;
+    revision = 0;
+    upstreams.upstreams[0].phase = upstream_phase::ready;
+    publish(1000);
+    receive(opening(), 1001);
+    CHECK_EQUAL(0, output.toAgents.size());
+
+    ++upstreams.upstreams[0].incarnation;
+    publish(2000);
+    receive(opening(), 2001);
+    CHECK_EQUAL(1, output.toAgents.size());
+}
+
 // The copy that a store is restored from lacks upstreams that registered after it. They register
 // again within two seconds; until then they must not be taken as removed.
 TEST(entry_balancer, UpstreamMissingAfterARestoreOfTheStoreStaysListed)
