Use the list of upstreams while a restored store lacks the configuration

What callers would see: after a restore from a copy that is older than the first configuration, no instance learns of new, draining or gone upstreams until the operator has written the configuration again.

Cause: the absence of the configuration (404) failed the whole read, as at the first start, although a process that has a configuration keeps it in force anyway.

Change: after a configuration has been read once, its absence means that there is nothing newer yet; the next read is a full one.

--- a/packages/flow/include/oriolehold/flow/routing_view.h
+++ b/packages/flow/include/oriolehold/flow/routing_view.h
@@ -103,8 +103,9 @@
 {
 public:
     virtual ~view_source() = default;
-    // Returns the configuration in force, or an empty optional when it is the one that the last
-    // successful call returned. Fails with a read_failure.
+    // Returns the configuration in force. Returns an empty optional when it is the one that the
+    // last successful call returned, or when a restored store does not have it yet. Fails with a
+    // read_failure.
     virtual boost::leaf::result<std::optional<flow_configuration>> readConfiguration() = 0;
     // Fails with a read_failure.
     virtual boost::leaf::result<upstream_list> readUpstreams() = 0;
