--- a/packages/runtime/include/oriolehold/runtime/watch_schedule.h
+++ b/packages/runtime/include/oriolehold/runtime/watch_schedule.h
@@ -13,6 +13,7 @@
 enum class read_outcome : std::uint8_t {
     changed,   // a new generation took effect
     unchanged, // the source has nothing newer
+    outdated,  // the platform has an older document, as after its restore from a copy
     failed,    // no response, an error, or a document that was not accepted
 };
 
@@ -56,6 +57,10 @@
     static constexpr std::uint64_t readsPerSecondAfterChange = 1000;
     // Shortest time between the starts of two reads when the platform responds without waiting.
     static constexpr std::chrono::milliseconds minReadPeriod { 1000 };
+    // Pause until the next read of a platform that has an older document; the longest is twice this
+    // long. Changes must be in effect within 8 s, and 4,220 readers must stay below 2,000 reads a
+    // second.
+    static constexpr std::chrono::milliseconds outdatedInterval { 2500 };
 
     watch_schedule(std::size_t peerCount, std::uint64_t seed, core::time_point start);
 
--- a/packages/runtime/src/configuration_watch.cpp
+++ b/packages/runtime/src/configuration_watch.cpp
@@ -121,13 +121,13 @@
     case offer_result::unchanged:
         return read_outcome::unchanged;
     case offer_result::older:
-        // A peer may lag behind; an older generation from the platform is an error.
-        if (fromPeer)
+        if (fromPeer) // it may lag behind
             return read_outcome::unchanged;
         log(log_event::configurationOlder,
             { { "generation", m_acceptor.generation() },
               { "offered", m_acceptor.offeredGeneration() } });
-        break;
+        m_rejectedCount.fetch_add(1);
+        return read_outcome::outdated;
     case offer_result::conflicting:
         log(log_event::configurationConflict,
             { { "generation", m_acceptor.generation() }, { "source", source } });
--- a/packages/runtime/src/watch_schedule.cpp
+++ b/packages/runtime/src/watch_schedule.cpp
@@ -51,6 +51,11 @@
     }
     m_platformFailures = 0;
     m_platformAnswered = true;
+    if (outcome == read_outcome::outdated) {
+        m_nextPlatformRead = now + outdatedInterval + uniform(outdatedInterval);
+        m_wait = std::chrono::seconds { 0 };
+        return;
+    }
     const auto spread = std::chrono::duration_cast<core::duration>(std::chrono::seconds { 1 })
             * m_readerCount / readsPerSecondAfterChange;
     m_nextPlatformRead = now;
--- a/packages/runtime/tests/configuration_watch_test.cpp
+++ b/packages/runtime/tests/configuration_watch_test.cpp
@@ -129,6 +129,34 @@
     watch.stop();
 }
 
+// A platform that was restored from a copy serves an older document for some time. It is reachable,
+// and the document that is published again must not wait for an exponential back-off.
+TEST(configuration_watch, OlderDocumentOfThePlatformIsNoOutage)
+{
+    std::atomic<int> reads { 0 };
+    fake_http_server platform([&](const std::string &) -> fake_response {
+        switch (++reads) {
+        case 1:
+            return { 200, exampleText(7) };
+        case 2:
+            return { 200, exampleText(6) };
+        case 3:
+            return { 200, exampleText(8) };
+        default:
+            return respondAfterRelease();
+        }
+    });
+    configuration_watch watch(platform.address, {}, 1, apply());
+    watch.start();
+    CHECK_TRUE(applied.waitFor(7));
+    while (watch.rejectedCount() == 0)
+        std::this_thread::sleep_for(5ms);
+    CHECK_TRUE(watch.platformReachable());
+    CHECK_TRUE(applied.waitFor(8));
+    release.store(true);
+    watch.stop();
+}
+
 TEST(configuration_watch, ReadsPeersWhenThePlatformIsUnreachableAtStart)
 {
     fake_http_server peer([](const std::string &query) -> fake_response {
--- a/packages/runtime/tests/watch_schedule_test.cpp
+++ b/packages/runtime/tests/watch_schedule_test.cpp
@@ -98,6 +98,21 @@
     CHECK_TRUE(schedule.next().wait >= 25s && schedule.next().source == read_source::platform);
 }
 
+// A platform that was restored from a copy has an older document until the operator publishes the
+// newer one again. Exponential back-off would delay that one by up to 10 s.
+TEST(watch_schedule, PlatformWithAnOlderDocumentIsReadAgainSoon)
+{
+    watch_schedule schedule(3, 1, start);
+    core::time_point now = start;
+    for (int i = 0; i < 20; ++i) {
+        schedule.record(schedule.next(), read_outcome::outdated, now, now);
+        CHECK_TRUE(schedule.next().source == read_source::platform);
+        CHECK_TRUE(schedule.next().at - now >= 2s && schedule.next().at - now <= 5s);
+        now = schedule.next().at;
+    }
+    CHECK_FALSE(schedule.platformUnreachable());
+}
+
 TEST(watch_schedule, PlatformThatDoesNotWaitIsReadAtMostOnceASecond)
 {
     watch_schedule schedule(0, 1, start);
