Draw restores of the platform in the randomised runs of the CoAP path

The runs knew delayed documents only. Plan restores: the platform goes back to one of the last six documents, offers it to all processes and to new ones as their first, and gets the newest again within 5 s. The runs check that no entry instance returns to an older document.

--- a/packages/random_run/include/oriolehold/random_run/random_run.h
+++ b/packages/random_run/include/oriolehold/random_run/random_run.h
@@ -13,8 +13,9 @@
 
 // Changes that happen during a run.
 enum class change_plan {
-    planned, // joins, drains, replacements and key rotations; no flow may break
-    faults,  // also kills, pauses, partitions, loss, duplicates and late duplicates
+    planned,  // joins, drains, replacements and key rotations; no flow may break
+    faults,   // also kills, pauses, partitions, loss, duplicates and late duplicates
+    restores, // also restores of the platform from a copy with an older document
 };
 
 // Behaviour of the system under test. The wrong variants show that the checks detect their faults.
@@ -38,7 +39,8 @@
 struct run_result
 {
     run_totals totals;
-    std::uint64_t planSteps = 0;       // planned changes and faults that were carried out
+    std::uint64_t planSteps = 0; // planned changes and faults that were carried out
+    std::uint64_t platformRestores = 0;
     std::uint64_t feedsHandedOver = 0; // handovers of a feed to another owner without a break
 };
 
--- a/packages/random_run/src/main.cpp
+++ b/packages/random_run/src/main.cpp
@@ -63,7 +63,7 @@
                                "0.1.0");
         TCLAP::ValueArg<std::string> seeds("", "seeds", "first and last seed", false, "1-20",
                                            "FROM-TO", command);
-        std::vector<std::string> planNames { "planned", "faults" };
+        std::vector<std::string> planNames { "planned", "faults", "restores" };
         TCLAP::ValuesConstraint<std::string> planConstraint(planNames);
         TCLAP::ValueArg<std::string> plan("", "plan", "which changes happen", false, "faults",
                                           &planConstraint, command);
@@ -78,6 +78,7 @@
 
         random_run::run_options options;
         options.plan = plan.getValue() == "planned" ? random_run::change_plan::planned
+                : plan.getValue() == "restores"     ? random_run::change_plan::restores
                                                     : random_run::change_plan::faults;
         options.length = std::chrono::seconds { seconds.getValue() };
         if (variant.getValue() == "modulo-routing")
@@ -87,7 +88,7 @@
         const seed_range range = parseSeeds(seeds.getValue());
         for (options.seed = range.first; options.seed <= range.last; ++options.seed) {
             const random_run::run_result result = random_run::runOnce(options);
-            const bool clean = options.plan == random_run::change_plan::faults
+            const bool clean = options.plan != random_run::change_plan::planned
                     || plannedRunIsClean(result.totals);
             if (!quiet.getValue() || !clean)
                 print(options.seed, result);
--- a/packages/random_run/src/processes.cpp
+++ b/packages/random_run/src/processes.cpp
@@ -59,8 +59,11 @@
 
 void entry_process::configure(const core::configuration_pointer &configuration)
 {
-    if (m_router.configure(configuration, m_simulation.time().now()))
-        m_configuration = configuration;
+    if (!m_router.configure(configuration, m_simulation.time().now()))
+        return;
+    if (m_configuration && configuration->generation() < m_configuration->generation())
+        throw violation("an entry instance returned to an older document");
+    m_configuration = configuration;
 }
 
 void entry_process::receiveFromCaller(const core::endpoint &caller, core::service_id service,
@@ -133,7 +136,7 @@
       m_scheduler(core::makeScheduler(core::defaultSchedulerName)),
       m_core(coreOptions(description, incarnation), *this, *m_scheduler, simulation.random()),
       m_upstream(simulation.time(), simulation.random(), simulation.history(), description,
-                 simulation.options().plan == change_plan::faults ? shedProbability : 0.0,
+                 simulation.options().plan == change_plan::planned ? 0.0 : shedProbability,
                  { [this](core::job_id job, const core::upstream_answer &answer) {
                       m_simulation.network().runOn(m_node, [this, job, answer] {
                           m_core.completeJob(job, answer, m_simulation.time().now());
--- a/packages/random_run/src/simulation.cpp
+++ b/packages/random_run/src/simulation.cpp
@@ -142,6 +142,7 @@
 {
     ++m_content.generation;
     m_published = std::make_shared<const core::configuration>(m_content);
+    m_documents.push_back(m_published);
     distribute(m_published);
 }
 
--- a/packages/random_run/src/simulation.h
+++ b/packages/random_run/src/simulation.h
@@ -179,6 +179,7 @@
     void pauseEntry();
     void partitionZones();
     void degradeLinks();
+    void restorePlatform();
 
     run_options m_options;
     core::seeded_random m_random;
@@ -187,7 +188,8 @@
     run_history m_history;
     run_result m_result;
     core::configuration_content m_content;
-    core::configuration_pointer m_published;
+    core::configuration_pointer m_published;              // what the platform serves
+    std::vector<core::configuration_pointer> m_documents; // all that were published, oldest first
     caller_context m_callerContext;
     node_id m_fabric = node_id::none; // sends and receives the packets of all callers
     std::uint8_t m_nextKey = 1;
--- a/packages/random_run/src/simulation_steps.cpp
+++ b/packages/random_run/src/simulation_steps.cpp
@@ -20,7 +20,9 @@
 constexpr std::size_t minUpstreams = 2; // live ones of a service
 constexpr std::size_t maxUpstreams = 8; // of a service, including those that are leaving
 constexpr core::duration rotationInterval = 10s;
-constexpr core::duration startupDelay = 500ms; // until a new process is ready
+constexpr std::uint64_t restoreStepInterval = 4; // mean number of steps between two restores
+constexpr std::size_t mostLostDocuments = 6;     // by a restore
+constexpr core::duration startupDelay = 500ms;   // until a new process is ready
 // Delay until the fabric uses a new list of entry instances.
 constexpr core::duration fabricUpdateDelay = 1s;
 
@@ -48,7 +50,12 @@
     constexpr std::array<step, 6> faults { &simulation::restartAgent,   &simulation::pauseAgent,
                                            &simulation::killEntry,      &simulation::pauseEntry,
                                            &simulation::partitionZones, &simulation::degradeLinks };
-    const bool withFaults = m_options.plan == change_plan::faults;
+    // Extra draws would change the runs of the other plans.
+    if (m_options.plan == change_plan::restores && m_random.below(restoreStepInterval) == 0) {
+        restorePlatform();
+        return;
+    }
+    const bool withFaults = m_options.plan != change_plan::planned;
     const std::size_t count = planned.size() + (withFaults ? faults.size() : 0);
     const std::size_t choice = m_random.below(count);
     ++m_result.planSteps;
@@ -267,4 +274,18 @@
     m_time.after(randomDuration(500ms, 6s), [this] { m_network.setConditions({}); });
 }
 
+void simulation::restorePlatform()
+{
+    ++m_result.planSteps;
+    ++m_result.platformRestores;
+    const std::size_t lost = m_random.below(std::min(m_documents.size(), mostLostDocuments));
+    m_published = m_documents[m_documents.size() - 1 - lost];
+    distribute(m_published);
+    // The operator publishes the newest document again.
+    m_time.after(randomDuration(0s, 5s), [this] {
+        m_published = m_documents.back();
+        distribute(m_published);
+    });
+}
+
 } // namespace oriolehold::random_run
--- a/packages/random_run/tests/random_run_test.cpp
+++ b/packages/random_run/tests/random_run_test.cpp
@@ -73,6 +73,14 @@
     STRCMP_EQUAL("", firstViolation(seedsPerPlan).c_str());
 }
 
+// A platform that was restored from a copy offers older documents, to new processes as their first.
+TEST(random_run, RestoresOfThePlatformViolateNoInvariant)
+{
+    options.plan = change_plan::restores;
+    STRCMP_EQUAL("", firstViolation(seedsPerPlan).c_str());
+    CHECK_TRUE(runOnce(options).platformRestores > 0);
+}
+
 TEST(random_run, ReusedIncarnationIsDetectedAsOrderStartedTwice)
 {
     options.plan = change_plan::faults;
