--- a/packages/flow/include/oriolehold/flow/routing_view.h
+++ b/packages/flow/include/oriolehold/flow/routing_view.h
@@ -21,7 +21,7 @@
     std::uint64_t era = 0; // as announced by the store; 0: unknown
     std::uint64_t number = 0;
 
-    auto operator<=>(const store_revision &) const = default;
+    auto operator<=>(const store_revision &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 struct weighted_service
--- a/packages/flow/tests/entry_balancer_test.cpp
+++ b/packages/flow/tests/entry_balancer_test.cpp
@@ -823,8 +823,8 @@
     CHECK_FALSE(balancer.readDue(atMilliseconds(2400)));
 }
 
-// In the copy that a store is restored from, an upstream that drains by now is ready. New flows must
-// not go there until the upstream has restarted.
+// In the copy that a store is restored from, an upstream that drains by now is ready. New flows
+// must not go there until the upstream has restarted.
 TEST(entry_balancer, UpstreamStillDrainsAfterARestoreOfTheStore)
 {
     upstreams.upstreams = { record(1) };
