--- a/packages/entry/include/oriolehold/entry/flow_entry_daemon.h
+++ b/packages/entry/include/oriolehold/entry/flow_entry_daemon.h
@@ -65,7 +65,9 @@
     void updateReadiness(core::time_point now);
     void requestRead(core::time_point now);
     void runControlLoop();
-    void readStore();
+    // Reads configuration and upstreams once. Returns false when the list of upstreams is
+    // incomplete, so that the next call continues it.
+    bool readStore();
 
     bool ready() const override;
     std::string metrics() const override;
@@ -102,7 +104,8 @@
     std::atomic<bool> m_draining { false };
     mutable std::atomic<unsigned> m_failedReadyChecks { 0 }; // since the drain began
     mutable std::mutex m_metricsMutex;
-    flow::entry_counters m_publishedCounters; // guarded by m_metricsMutex
+    flow::entry_counters m_publishedCounters;        // guarded by m_metricsMutex
+    flow::source_counters m_publishedSourceCounters; // guarded by m_metricsMutex
     std::thread m_trafficThread;
     std::thread m_controlThread;
 };
--- a/packages/entry/src/flow_entry_daemon.cpp
+++ b/packages/entry/src/flow_entry_daemon.cpp
@@ -162,32 +162,72 @@
             if (m_newStore)
                 m_source = m_makeSource(*std::exchange(m_newStore, std::nullopt), m_stopped);
         }
-        readStore();
+        while (!readStore() && !m_stopped.load()) { }
         m_loop.post([this] { m_readInProgress = false; });
     }
 }
 
-void flow_entry_daemon::readStore()
+namespace {
+
+// Result of a read, and why it failed.
+template<typename Value>
+struct read_outcome
 {
-    const core::time_point readAt = m_clock.now();
-    std::string_view failure;
+    std::optional<Value> value;
+    std::optional<flow::read_failure> failure;
+};
+
+template<typename Value>
+read_outcome<Value> outcomeOf(const std::function<boost::leaf::result<Value>()> &read)
+{
+    read_outcome<Value> outcome;
     boost::leaf::try_handle_all(
             [&]() -> boost::leaf::result<void> {
-                BOOST_LEAF_AUTO(upstreams, m_source->readUpstreams());
-                BOOST_LEAF_AUTO(configuration, m_source->readConfiguration());
-                m_loop.post([this, upstreams = std::move(upstreams),
-                             configuration = std::move(configuration), readAt] {
-                    m_balancer.finishRead(configuration, upstreams, readAt, m_clock.now());
-                });
+                BOOST_LEAF_ASSIGN(outcome.value, read());
                 return {};
             },
-            [&](flow::read_failure reason) { failure = flow::toString(reason); },
-            [&] { failure = "unknown"; });
-    const bool reachable = failure.empty();
-    if (reachable != m_storeReachable)
-        runtime::log(reachable ? log_event::storeReachable : log_event::storeUnreachable,
-                     { { "reason", failure } });
-    m_storeReachable = reachable;
+            [&](flow::read_failure failure) { outcome.failure = failure; },
+            [&] { outcome.failure = flow::read_failure::malformed; });
+    return outcome;
+}
+
+// Whether another request would fail, too.
+bool isStoreFailure(std::optional<flow::read_failure> failure)
+{
+    return failure == flow::read_failure::unreachable || failure == flow::read_failure::refused;
+}
+
+} // namespace
+
+bool flow_entry_daemon::readStore()
+{
+    using flow::read_failure;
+    const core::time_point readAt = m_clock.now();
+    // One of the two may be unreadable, for example by an entry of another writer; the other one is
+    // followed.
+    const auto configuration = outcomeOf<std::optional<flow::flow_configuration>>(
+            [this] { return m_source->readConfiguration(); });
+    read_outcome<flow::upstream_list> upstreams;
+    if (!isStoreFailure(configuration.failure))
+        upstreams = outcomeOf<flow::upstream_list>([this] { return m_source->readUpstreams(); });
+    const std::optional<flow::flow_configuration> newConfiguration =
+            configuration.value.value_or(std::nullopt);
+    if (newConfiguration || upstreams.value)
+        m_loop.post([this, newConfiguration, list = std::move(upstreams.value), readAt] {
+            m_balancer.finishRead(newConfiguration, list, readAt, m_clock.now());
+        });
+    {
+        const std::scoped_lock lock(m_metricsMutex);
+        m_publishedSourceCounters = m_source->counters();
+    }
+    if (upstreams.failure == read_failure::incomplete)
+        return false;
+    const auto failure = configuration.failure ? configuration.failure : upstreams.failure;
+    if (!failure != m_storeReachable)
+        runtime::log(failure ? log_event::storeUnreachable : log_event::storeReachable,
+                     { { "reason", failure ? flow::toString(*failure) : "" } });
+    m_storeReachable = !failure;
+    return true;
 }
 
 void flow_entry_daemon::reload()
@@ -230,6 +270,10 @@
     counter("flow_resets_total", m_publishedCounters.resets);
     counter("packets_dropped_total", m_publishedCounters.dropped);
     counter("store_restores_total", m_publishedCounters.storeRestores);
+    counter("store_requests_total", m_publishedSourceCounters.requests);
+    counter("store_entries_rejected_total", m_publishedSourceCounters.rejections);
+    text += "# TYPE oriolehold_store_entries_rejected gauge\noriolehold_store_entries_rejected "
+            + std::to_string(m_publishedSourceCounters.rejectedEntries) + "\n";
     return text + m_log.histograms();
 }
 
--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -11,6 +11,7 @@
 #include <boost/unordered/unordered_flat_map.hpp>
 #include <boost/unordered/unordered_flat_set.hpp>
 
+#include <bitset>
 #include <deque>
 
 // Decides for an entry instance which upstream takes a new flow, which upstream holds an open flow,
@@ -68,9 +69,11 @@
     // finishRead() after one that succeeded.
     bool readDue(base::time_point now) const;
     void beginRead(base::time_point now);
-    // readAt is the time at which the read began. configuration is empty when it did not change.
+    // readAt is the time at which the read began. configuration is empty when it did not change or
+    // could not be read; upstreams is empty when the list could not be read.
     void finishRead(const std::optional<flow_configuration> &configuration,
-                    const upstream_list &upstreams, base::time_point readAt, base::time_point now);
+                    const std::optional<upstream_list> &upstreams, base::time_point readAt,
+                    base::time_point now);
 
     // Performs the actions that are due and returns the time until the next call.
     base::duration tick(base::time_point now);
@@ -90,6 +93,9 @@
     const entry_counters &counters() const { return m_counters; }
 
 private:
+    // Clients have at most 16 packets in flight.
+    static constexpr std::size_t maxKeptPackets = 16;
+
     struct owner
     {
         std::uint32_t machine = 0;
@@ -107,27 +113,44 @@
         std::uint32_t machine = 0;
         base::time_point firstProbeAt {}; // epoch: not probed
         base::time_point lastProbeAt {};
+        std::uint32_t round = 0;              // of the last probe; 0: not probed
+        std::bitset<maxKeptPackets> received; // packets of the search that were sent there
         bool denied = false;
     };
+    // A packet that waits for the end of a search.
+    struct kept_packet
+    {
+        base::byte_vector bytes;
+        packet_head head;
+    };
     // Every packet of the client begins a round of probes to all candidates that have not denied.
+    // Its packets are kept: the owner may need all of them before it answers.
     struct search
     {
         base::time_point startedAt {};
         base::time_point lastPacketAt {}; // begin of the current round
-        base::byte_vector lastPacket;
+        std::uint32_t round = 0;          // packets of the client so far
+        std::vector<kept_packet> packets; // different ones, oldest first
+        std::size_t current = 0;          // position of the packet that the round probes with
         bool roundComplete = false;
+        bool packetsDue = false; // candidates that stay silent will get the other packets
         std::vector<candidate> candidates;
         // Read time of the list and version of the routes that the candidates were taken from.
         base::time_point listReadAt {};
         std::uint64_t configurationVersion = 0;
-        packet_head lastHead;
         std::uint32_t probes = 0; // sent
     };
 
     void routesChanged(const flow_configuration &configuration) override;
     void upstreamsUpdated(const upstream_list &list, base::time_point readAt,
                           base::time_point now) override;
-    std::vector<std::uint32_t> relays() const;
+    // Whether a route has the service; true for all services before the first configuration.
+    bool isRouted(const upstream_record &record) const;
+    // Whether the upstream's agent needs hellos. Entries of other writers may have a service that
+    // no route has, and name machines without an agent.
+    bool needsHello(const known_upstream &upstream, base::time_point now) const;
+    // Agents that pass a summary on to all entry instances.
+    std::vector<std::uint32_t> relays(base::time_point now) const;
     const flow_route *routeOf(const base::endpoint &service) const;
     void receiveFromClient(const packet_head &head, base::byte_view packet, base::time_point now);
     void receiveReturned(const packet_head &head, base::byte_view packet, std::uint32_t sender,
@@ -143,10 +166,21 @@
     // Starts a search, or a new round of it, with a packet of the client.
     void searchOwner(const flow_key &key, const flow_route &route, const packet_head &head,
                      base::byte_view packet, std::uint32_t excluded, base::time_point now);
+    // Keeps a packet of the client as the one that the round probes with.
+    void keepPacket(search &state, const packet_head &head, base::byte_view packet);
     // Sends the probes of the current round that are due.
     void sendProbes(const flow_route &route, search &state, base::time_point now);
+    // Sends the other packets to candidates that have not denied the one that they got: those of a
+    // restarted agent's upstream may be its.
+    void sendKeptPackets(const flow_route &route, search &state, base::time_point now);
+    // Sends one of the kept packets as a probe.
+    void probe(const flow_route &route, search &state, candidate &item, std::size_t packet,
+               base::time_point now);
+    // Whether the candidate may still hold the flow, and serves the route.
+    bool isPossible(const flow_route &route, const candidate &item) const;
     // Adds the upstreams of the current view that are no candidates yet; excluded counts as denied.
-    void addCandidates(search &state, const flow_route &route, std::uint32_t excluded);
+    void addCandidates(search &state, const flow_route &route, std::uint32_t excluded,
+                       base::time_point now);
     void receiveDenial(const flow_denial &denial, std::uint32_t machine, base::time_point now);
     void receiveClaim(const flow_key &key, std::uint32_t machine, base::time_point now);
     // Resets the client if certain is set and the packet is the first copy of an opening packet,
@@ -179,6 +213,7 @@
     // Routes in force, by address. Services that a route had in earlier versions may hold open
     // flows; they stay in it with weight 0.
     boost::unordered_flat_map<base::endpoint, flow_route, base::endpoint_hash> m_routes;
+    boost::unordered_flat_set<std::string> m_services; // of the routes
     upstream_directory m_directory;
     boost::unordered_flat_map<flow_key, owner, flow_key_hash> m_owners;
     boost::unordered_flat_map<flow_key, search, flow_key_hash> m_searches;
--- a/packages/flow/include/oriolehold/flow/hold_queue.h
+++ b/packages/flow/include/oriolehold/flow/hold_queue.h
@@ -40,7 +40,7 @@
     // Whether a new request must be held. running is the number of requests at the upstream.
     bool mustHold(std::uint32_t running) const
     {
-        return m_slots > 0 && running >= m_slots + upstreamQueueLimit && m_held.size() < maxHeld;
+        return m_slots > 0 && !hasRoom(running) && m_held.size() < maxHeld;
     }
     bool holds(const flow_key &key) const { return m_held.contains(key); }
     // Holds a packet of a request. The first packet of a flow sets the constraints and the start of
@@ -78,6 +78,12 @@
         std::vector<base::byte_vector> packets;
     };
 
+    // Whether the upstream can take another request.
+    bool hasRoom(std::uint32_t running) const
+    {
+        return running < std::uint64_t { m_slots } + upstreamQueueLimit;
+    }
+
     static base::time_point releaseBy(const std::pair<const flow_key, held_request> &item)
     {
         return item.second.constraints.releaseBy;
--- a/packages/flow/include/oriolehold/flow/routing_view.h
+++ b/packages/flow/include/oriolehold/flow/routing_view.h
@@ -93,10 +93,19 @@
     malformed,   // the answer does not have the published form
     absent,      // nothing is published yet
     restored,    // the store was restored between the pages of the answer
+    incomplete,  // a long list is read in parts; the next call continues
 };
 
 std::string_view toString(read_failure failure);
 
+// Totals since the start of the process, but for rejectedEntries.
+struct source_counters
+{
+    std::uint64_t requests = 0;        // to the store
+    std::uint64_t rejections = 0;      // revisions of entries that describe no usable upstream
+    std::uint64_t rejectedEntries = 0; // in the present list
+};
+
 // Reads the store that the operator and the upstreams write to. Calls may block up to their own
 // time limits; the control thread makes them.
 class view_source
@@ -109,6 +118,7 @@
     virtual boost::leaf::result<std::optional<flow_configuration>> readConfiguration() = 0;
     // Fails with a read_failure.
     virtual boost::leaf::result<upstream_list> readUpstreams() = 0;
+    virtual source_counters counters() const = 0;
 };
 
 } // namespace oriolehold::flow
--- a/packages/flow/include/oriolehold/flow/upstream_directory.h
+++ b/packages/flow/include/oriolehold/flow/upstream_directory.h
@@ -16,6 +16,8 @@
 {
     upstream_record record;
     bool listed = true; // in the newest list, or missing for a short time after an outage
+    // One of several entries for the same start of the upstream says that it drains.
+    bool anyEntryDrains = false;
     base::time_point seenInList {}; // read time of the last list that has it
     base::time_point removedAt {};  // when it ceased to be listed
     base::time_point warmUpEndsAt {};
@@ -52,9 +54,12 @@
     // A longer gap between the reads of two lists counts as an outage of the store.
     static constexpr std::chrono::milliseconds outageGap { 2500 };
 
-    // Applies a list that was read at readAt. Returns false, and ignores the list, if it is older
-    // than the current one.
+    using record_filter = std::function<bool(const upstream_record &)>;
+
+    // Applies a list that was read at readAt. isRouted tells whether a route has the service of an
+    // entry. Returns false, and ignores the list, if it is older than the current one.
     bool update(const upstream_list &list, base::time_point readAt, base::time_point now,
+                const record_filter &isRouted,
                 const std::function<void(const directory_change &)> &onChange);
     // Stores the report of the agent on the machine; ignored if the machine is unknown.
     void report(std::uint32_t machine, const load_report &report, base::time_point now);
@@ -67,8 +72,12 @@
     const known_upstream *find(std::uint32_t machine) const;
     // Returns the upstreams that may take new flows of the service.
     std::vector<known_upstream *> eligible(std::string_view service);
-    // Returns all machines that may hold a flow of the route, listed ones and those in zone first.
-    std::vector<std::uint32_t> possibleOwners(const flow_route &route, std::string_view zone) const;
+    // Returns all machines that may hold a flow of the route: first those whose agents are heard,
+    // of these the listed ones, of these those in zone.
+    std::vector<std::uint32_t> possibleOwners(const flow_route &route, std::string_view zone,
+                                              base::time_point now) const;
+    // Whether a report of the agent arrived recently.
+    static bool isHeard(const known_upstream &upstream, base::time_point now);
     // Whether the upstream on the machine certainly holds no flow. True for an unknown machine.
     bool holdsNoFlows(std::uint32_t machine) const;
     std::vector<std::uint32_t> machines() const;
@@ -80,6 +89,17 @@
     base::time_point readAt() const { return m_readAt; }
 
 private:
+    // The entry that counts for a machine.
+    struct listed_record
+    {
+        const upstream_record *record = nullptr;
+        bool anyDrains = false; // one of the entries of the same start does
+    };
+
+    // Returns one entry for each machine.
+    std::vector<listed_record> recordsByMachine(const upstream_list &list,
+                                                const record_filter &isRouted) const;
+
     boost::unordered_flat_map<std::uint32_t, known_upstream> m_upstreams; // by machine address
     store_revision m_revision;
     base::time_point m_readAt {};
--- a/packages/flow/include/oriolehold/flow/view_exchange.h
+++ b/packages/flow/include/oriolehold/flow/view_exchange.h
@@ -44,6 +44,8 @@
     // A newer configuration that has not arrived within this time after its summary is lost on the
     // way, or its request is.
     static constexpr std::chrono::milliseconds configurationTimeout { 300 };
+    // Content that claims to be older, or to be from the future, is ignored.
+    static constexpr std::chrono::hours maxAge { 24 };
 
     // The references must outlive the object.
     view_exchange(const document_codec &codec, message_output &output, view_listener &listener);
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -279,9 +279,25 @@
                 current.services.push_back({ item.name, 0 });
         }
     }
+    m_services.clear();
+    for (const auto &[address, route] : m_routes) {
+        for (const weighted_service &item : route.services)
+            m_services.insert(item.name);
+    }
+    m_nextHello = {};
     m_observer.routesChanged(configuration);
 }
 
+bool entry_balancer::isRouted(const upstream_record &record) const
+{
+    return m_view.configuration().version == 0 || m_services.contains(record.service);
+}
+
+bool entry_balancer::needsHello(const known_upstream &upstream, base::time_point now) const
+{
+    return isRouted(upstream.record) || upstream_directory::isHeard(upstream, now);
+}
+
 void entry_balancer::upstreamsUpdated(const upstream_list &list, base::time_point readAt,
                                       base::time_point now)
 {
@@ -293,9 +309,9 @@
         ++m_counters.storeRestores;
         m_observer.storeRestored(former, list.revision);
     }
-    m_directory.update(list, readAt, now, [this](const directory_change &change) {
-        m_observer.directoryChanged(change);
-    });
+    m_directory.update(
+            list, readAt, now, [this](const upstream_record &record) { return isRouted(record); },
+            [this](const directory_change &change) { m_observer.directoryChanged(change); });
     boost::unordered::erase_if(m_unlistedAgents, [&](const auto &item) {
         return m_directory.find(item.first) != nullptr
                 || now - item.second >= upstream_directory::reregistrationTime;
@@ -317,20 +333,26 @@
 }
 
 void entry_balancer::finishRead(const std::optional<flow_configuration> &configuration,
-                                const upstream_list &upstreams, base::time_point readAt,
-                                base::time_point now)
+                                const std::optional<upstream_list> &upstreams,
+                                base::time_point readAt, base::time_point now)
 {
     if (configuration)
         m_view.applyConfiguration(*configuration);
-    m_view.applyUpstreams(upstreams, readAt, now);
-    for (const std::uint32_t machine : relays())
+    if (upstreams)
+        m_view.applyUpstreams(*upstreams, readAt, now);
+    for (const std::uint32_t machine : relays(now))
         m_output.sendMessage(machine, m_view.summary(now));
 }
 
-std::vector<std::uint32_t> entry_balancer::relays() const
+std::vector<std::uint32_t> entry_balancer::relays(base::time_point now) const
 {
+    // Entries of other writers name machines without an agent.
+    const auto rank = [&](std::uint32_t machine) {
+        const known_upstream *known = m_directory.find(machine);
+        return std::pair(!upstream_directory::isHeard(*known, now), machine);
+    };
     std::vector<std::uint32_t> machines = m_directory.machines();
-    std::ranges::sort(machines);
+    std::ranges::sort(machines, {}, rank);
     machines.resize(std::min(machines.size(), relayCount));
     return machines;
 }
@@ -339,6 +361,9 @@
 {
     if (m_pendingHellos.empty()) {
         m_pendingHellos = m_directory.machines();
+        std::erase_if(m_pendingHellos, [&](std::uint32_t machine) {
+            return !needsHello(*m_directory.find(machine), now);
+        });
         m_nextHelloRound = now + helloInterval;
         m_hellosPerStep = std::max(minHellosPerStep,
                                    (m_pendingHellos.size() + maxHelloSteps - 1) / maxHelloSteps);
--- a/packages/flow/src/hold_queue.cpp
+++ b/packages/flow/src/hold_queue.cpp
@@ -32,7 +32,7 @@
     };
     while (!m_held.empty()) {
         auto chosen = std::ranges::min_element(m_held, {}, rank);
-        if (running() >= m_slots + upstreamQueueLimit) {
+        if (!hasRoom(running())) {
             chosen = std::ranges::min_element(m_held, {}, releaseBy);
             if (now < releaseBy(*chosen))
                 return;
--- a/packages/flow/src/owner_search.cpp
+++ b/packages/flow/src/owner_search.cpp
@@ -20,6 +20,10 @@
 // search does not wait for them.
 constexpr base::duration probeTimeout = 20ms;
 constexpr base::duration searchInterval = probeTimeout; // of updates of the searches
+// Candidates of a search that get the other packets because they did not deny the first one.
+constexpr std::size_t maxSuspects = 4;
+// With more searches only the last packet of each is kept: 200 searches keep up to 4 MB.
+constexpr std::size_t maxSearchesThatKeepPackets = 200;
 
 } // namespace
 
@@ -40,24 +44,85 @@
                   .configurationVersion = m_view.configuration().version,
                   .viewAge = now - m_directory.readAt() });
     }
-    addCandidates(state, route, excluded);
+    addCandidates(state, route, excluded, now);
     state.lastPacketAt = now;
-    state.lastHead = head;
-    state.lastPacket.assign(packet.begin(), packet.end());
+    ++state.round;
+    keepPacket(state, head, packet);
     state.roundComplete = false;
     sendProbes(route, state, now);
 }
 
+void entry_balancer::keepPacket(search &state, const packet_head &head, base::byte_view packet)
+{
+    const auto isCopy = [&](const kept_packet &item) {
+        return item.head.sequence == head.sequence && item.head.payloadSize == head.payloadSize
+                && item.head.finishes == head.finishes;
+    };
+    auto kept = std::ranges::find_if(state.packets, isCopy);
+    const bool isNew = kept == state.packets.end();
+    const bool hasRoom = state.packets.empty()
+            || (state.packets.size() < maxKeptPackets
+                && m_searches.size() <= maxSearchesThatKeepPackets);
+    if (isNew && hasRoom)
+        kept = state.packets.emplace(kept);
+    else if (isNew)
+        kept = std::prev(kept);
+    kept->head = head;
+    kept->bytes.assign(packet.begin(), packet.end());
+    state.current = static_cast<std::size_t>(kept - state.packets.begin());
+    if (isNew && !hasRoom)
+        std::ranges::for_each(state.candidates,
+                              [&](candidate &item) { item.received.reset(state.current); });
+}
+
+bool entry_balancer::isPossible(const flow_route &route, const candidate &item) const
+{
+    const known_upstream *known = m_directory.find(item.machine);
+    return !item.denied && known != nullptr && mayServe(route, known->record.service);
+}
+
+void entry_balancer::probe(const flow_route &route, search &state, candidate &item,
+                           std::size_t packet, base::time_point now)
+{
+    const known_upstream *known = m_directory.find(item.machine);
+    sendTagged(instruction::probe, serviceDigest(known->record.service), &route, item.machine,
+               state.packets[packet].bytes);
+    item.received.set(packet);
+    item.lastProbeAt = now;
+    if (item.firstProbeAt == base::time_point {})
+        item.firstProbeAt = now;
+    ++state.probes;
+    ++m_counters.probes;
+}
+
+void entry_balancer::sendKeptPackets(const flow_route &route, search &state, base::time_point now)
+{
+    state.packetsDue = false;
+    std::size_t suspects = 0;
+    for (candidate &item : state.candidates) {
+        if (item.firstProbeAt == base::time_point {}
+            || item.received.count() >= state.packets.size() || !isPossible(route, item))
+            continue;
+        if (now - item.firstProbeAt < probeTimeout) {
+            state.packetsDue = true;
+            continue;
+        }
+        if (++suspects > maxSuspects)
+            return;
+        for (std::size_t i = 0; i < state.packets.size(); ++i) {
+            if (!item.received.test(i))
+                probe(route, state, item, i, now);
+        }
+    }
+}
+
 void entry_balancer::sendProbes(const flow_route &route, search &state, base::time_point now)
 {
     const auto isOutstanding = [&](const candidate &item) {
-        return !item.denied && item.lastProbeAt >= state.lastPacketAt
-                && now - item.lastProbeAt < probeTimeout;
+        return !item.denied && item.round == state.round && now - item.lastProbeAt < probeTimeout;
     };
     const auto isDue = [&](const candidate &item) {
-        const known_upstream *known = m_directory.find(item.machine);
-        return !item.denied && item.lastProbeAt < state.lastPacketAt && known != nullptr
-                && mayServe(route, known->record.service);
+        return item.round < state.round && isPossible(route, item);
     };
     // Upstreams that did not answer an earlier round come last, so that they do not delay the
     // probes of the others.
@@ -77,19 +142,15 @@
             std::max<std::ptrdiff_t>(maxOutstandingProbes - outstanding, 0));
     state.roundComplete = due.size() <= allowed;
     for (candidate *item : std::span(due).first(std::min(allowed, due.size()))) {
-        const known_upstream *known = m_directory.find(item->machine);
-        sendTagged(instruction::probe, serviceDigest(known->record.service), &route, item->machine,
-                   state.lastPacket);
-        item->lastProbeAt = now;
-        if (item->firstProbeAt == base::time_point {})
-            item->firstProbeAt = now;
-        ++state.probes;
-        ++m_counters.probes;
+        probe(route, state, *item, state.current, now);
+        item->round = state.round;
     }
-    m_searchInProgress = m_searchInProgress || !state.roundComplete;
+    sendKeptPackets(route, state, now);
+    m_searchInProgress = m_searchInProgress || !state.roundComplete || state.packetsDue;
 }
 
-void entry_balancer::addCandidates(search &state, const flow_route &route, std::uint32_t excluded)
+void entry_balancer::addCandidates(search &state, const flow_route &route, std::uint32_t excluded,
+                                   base::time_point now)
 {
     const std::uint64_t version = m_view.configuration().version;
     if (state.listReadAt == m_directory.readAt() && state.configurationVersion == version)
@@ -99,10 +160,12 @@
     boost::unordered_flat_set<std::uint32_t> known;
     for (const candidate &item : state.candidates)
         known.insert(item.machine);
-    for (const std::uint32_t machine : m_directory.possibleOwners(route, m_identity.zone)) {
+    for (const std::uint32_t machine : m_directory.possibleOwners(route, m_identity.zone, now)) {
         if (known.contains(machine))
             continue;
-        state.candidates.push_back({ .machine = machine, .denied = machine == excluded });
+        candidate &added = state.candidates.emplace_back();
+        added.machine = machine;
+        added.denied = machine == excluded;
         state.roundComplete = false;
     }
 }
@@ -152,8 +215,10 @@
         return;
     const search &state = found->second;
     const auto probed = std::ranges::find(state.candidates, machine, &candidate::machine);
-    if (probed == state.candidates.end() || probed->lastProbeAt < state.lastPacketAt)
-        forward(item, key.service, state.lastPacket);
+    for (std::size_t i = 0; i < state.packets.size(); ++i) {
+        if (probed == state.candidates.end() || !probed->received.test(i))
+            forward(item, key.service, state.packets[i].bytes);
+    }
     ++m_counters.found;
     flow_decision decision = describe(decision_kind::ownerFound, key, state, now);
     decision.machine = machine;
@@ -176,7 +241,8 @@
     search &state = found->second;
     if (denial.misdirected && mayServe(*route, denial.serviceDigest)) {
         // The list here is older than the upstream; the agent names the upstream's present service.
-        sendTagged(instruction::probe, denial.serviceDigest, route, machine, state.lastPacket);
+        sendTagged(instruction::probe, denial.serviceDigest, route, machine,
+                   state.packets[state.current].bytes);
         ++state.probes;
         ++m_counters.probes;
         return;
@@ -219,8 +285,8 @@
             m_observer.decisionMade(describe(decision_kind::searchEnded, key, state, now));
             return true;
         }
-        addCandidates(state, *route, 0);
-        if (!state.roundComplete)
+        addCandidates(state, *route, 0, now);
+        if (!state.roundComplete || state.packetsDue)
             sendProbes(*route, state, now);
         if (!allDeny(*route, state))
             return false;
@@ -235,7 +301,7 @@
                 });
         if (!listIsNewer || listMayBeIncomplete)
             return false;
-        resetClient(state.lastHead, "no upstream holds the flow", now);
+        resetClient(state.packets[state.current].head, "no upstream holds the flow", now);
         return true;
     });
 }
--- a/packages/flow/src/routing_view.cpp
+++ b/packages/flow/src/routing_view.cpp
@@ -19,6 +19,8 @@
         return "absent";
     case read_failure::restored:
         return "restored";
+    case read_failure::incomplete:
+        return "incomplete";
     }
     return "unknown";
 }
--- a/packages/flow/src/upstream_directory.cpp
+++ b/packages/flow/src/upstream_directory.cpp
@@ -1,11 +1,44 @@
 #include "oriolehold/flow/upstream_directory.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace oriolehold::flow {
 
+// Several entries may have the same address: that of a former upstream, which has not lapsed yet,
+// or one of another writer. The one that started last counts, then the known one, then one with a
+// service that a route has. Which of those that started at the same time is the upstream's cannot
+// be told, so no new flow goes there if one of them drains.
+std::vector<upstream_directory::listed_record>
+upstream_directory::recordsByMachine(const upstream_list &list, const record_filter &isRouted) const
+{
+    const auto rank = [&](const upstream_record &record) {
+        const known_upstream *known = find(record.address.address);
+        return std::tuple(record.incarnation, known != nullptr && known->record.id == record.id,
+                          isRouted(record));
+    };
+    boost::unordered_flat_map<std::uint32_t, std::size_t> positions;
+    std::vector<listed_record> result;
+    for (const upstream_record &record : list.upstreams) {
+        const bool drains = record.phase == upstream_phase::draining && isRouted(record);
+        const auto [item, added] = positions.try_emplace(record.address.address, result.size());
+        if (added) {
+            result.push_back({ &record, drains });
+            continue;
+        }
+        listed_record &chosen = result[item->second];
+        if (record.incarnation == chosen.record->incarnation)
+            chosen.anyDrains = chosen.anyDrains || drains;
+        else if (record.incarnation > chosen.record->incarnation)
+            chosen.anyDrains = drains;
+        if (rank(record) > rank(*chosen.record))
+            chosen.record = &record;
+    }
+    return result;
+}
+
 bool upstream_directory::update(const upstream_list &list, base::time_point readAt,
-                                base::time_point now,
+                                base::time_point now, const record_filter &isRouted,
                                 const std::function<void(const directory_change &)> &onChange)
 {
     if (list.revision < m_revision || readAt < m_readAt)
@@ -16,11 +49,13 @@
     m_revision = list.revision;
     m_readAt = readAt;
     using change = directory_change::kind;
-    for (const upstream_record &record : list.upstreams) {
+    for (const listed_record &listed : recordsByMachine(list, isRouted)) {
+        const upstream_record &record = *listed.record;
         const auto [item, added] = m_upstreams.try_emplace(record.address.address);
         known_upstream &known = item->second;
         const bool restarted = !added
-                && (known.record.id != record.id || known.record.incarnation != record.incarnation);
+                && (known.record.incarnation != record.incarnation
+                    || (record.incarnation == 0 && known.record.id != record.id));
         if (restarted && known.record.incarnation > record.incarnation)
             continue; // a former upstream of the address; its entry has not lapsed yet
         // An upstream does not end its drain before it restarts. An entry that says so is older
@@ -40,6 +75,7 @@
         known.record = record;
         if (drains)
             known.record.phase = upstream_phase::draining;
+        known.anyEntryDrains = listed.anyDrains;
         known.listed = true;
         known.seenInList = readAt;
         known.warmUpEndsAt = readAt + record.warmUpLeft;
@@ -97,23 +133,31 @@
 {
     std::vector<known_upstream *> result;
     for (auto &[machine, known] : m_upstreams) {
-        if (known.listed && known.record.phase == upstream_phase::ready
+        if (known.listed && known.record.phase == upstream_phase::ready && !known.anyEntryDrains
             && known.record.service == service)
             result.push_back(&known);
     }
     return result;
 }
 
+bool upstream_directory::isHeard(const known_upstream &upstream, base::time_point now)
+{
+    return upstream.reportedAt != base::time_point {} && now - upstream.reportedAt < agentTimeout;
+}
+
 std::vector<std::uint32_t> upstream_directory::possibleOwners(const flow_route &route,
-                                                              std::string_view zone) const
+                                                              std::string_view zone,
+                                                              base::time_point now) const
 {
     std::vector<const known_upstream *> found;
     for (const auto &[machine, known] : m_upstreams) {
         if (mayServe(route, known.record.service))
             found.push_back(&known);
     }
+    // An agent that is not heard does not answer, or does not exist: entries of other writers name
+    // any address.
     const auto rank = [&](const known_upstream *known) {
-        return (known->listed ? 0 : 2) + (known->record.zone == zone ? 0 : 1);
+        return std::tuple(!isHeard(*known, now), !known->listed, known->record.zone != zone);
     };
     std::ranges::stable_sort(found, {}, rank);
     std::vector<std::uint32_t> result(found.size());
--- a/packages/flow/src/view_exchange.cpp
+++ b/packages/flow/src/view_exchange.cpp
@@ -11,6 +11,11 @@
 // Larger documents are rejected. 4 MB hold 60,000 upstreams.
 constexpr std::uint16_t maxPages = 4096;
 
+bool isPlausible(base::duration age)
+{
+    return age >= base::duration::zero() && age <= view_exchange::maxAge;
+}
+
 std::uint64_t hashOf(const base::byte_vector &bytes)
 {
     return base::fnv1a(base::byte_view(bytes));
@@ -91,6 +96,8 @@
 bool view_exchange::receiveSummary(std::uint32_t machine, const view_summary &summary,
                                    base::time_point now)
 {
+    if (!isPlausible(summary.age))
+        return false;
     const bool newerList = summary.upstreamRevision >= m_upstreams.revision
             && summary.upstreamDigest != 0 && now - summary.age - transferTime > m_readAt;
     const view_request request { summary.configurationVersion > m_configuration.version,
@@ -113,7 +120,8 @@
 
 bool view_exchange::receivePage(const view_page &page, base::time_point now)
 {
-    if (page.count == 0 || page.count > maxPages || page.index >= page.count)
+    if (page.count == 0 || page.count > maxPages || page.index >= page.count
+        || !isPlausible(page.age))
         return false;
     if (page.kind == document_kind::configuration) {
         if (page.id <= m_configuration.version)
--- a/packages/flow/tests/deployment_simulation.cpp
+++ b/packages/flow/tests/deployment_simulation.cpp
@@ -168,8 +168,10 @@
     upstream &m_upstream;
 };
 
-deployment_simulation::deployment_simulation(std::uint64_t seed, store_history history)
-    : m_random(seed), m_storeRandom(~seed), m_history(history)
+deployment_simulation::deployment_simulation(std::uint64_t seed, store_history history,
+                                             store_writers writers)
+    : m_random(seed), m_storeRandom(~seed), m_history(history), m_writerRandom(seed + 1),
+      m_writers(writers)
 {
     m_steadyHash = chance(50);
     m_twoServices = chance(60);
@@ -479,6 +481,8 @@
             m_troubleInterval = quietInterval;
         restoreStoreAtTimes();
     }
+    if (m_writers == store_writers::othersToo)
+        writeForeignEntriesAtTimes();
     repeat(100ms, [this] {
         checkMisrouting();
         checkViews();
--- a/packages/flow/tests/deployment_simulation.h
+++ b/packages/flow/tests/deployment_simulation.h
@@ -49,8 +49,13 @@
     // Whether the store keeps all that it acknowledged, or is restored from former copies at times.
     enum class store_history { continuous, restoredAtTimes };
 
+    // Who writes entries of upstreams to the store. Others leave copies of entries and entries of
+    // upstreams that do not exist.
+    enum class store_writers { upstreamsOnly, othersToo };
+
     explicit deployment_simulation(std::uint64_t seed,
-                                   store_history history = store_history::continuous);
+                                   store_history history = store_history::continuous,
+                                   store_writers writers = store_writers::upstreamsOnly);
     ~deployment_simulation();
     deployment_simulation(const deployment_simulation &) = delete;
     deployment_simulation &operator=(const deployment_simulation &) = delete;
@@ -74,6 +79,7 @@
         int strays = 0;         // packets of open flows processed at other upstreams
         int judgedStrays = 0;   // those that count for the check of misrouted flows
         int restores = 0;       // of the store
+        int foreignEntries = 0; // written by others than the upstreams
         std::array<int, troubleKinds> troubles {};
     };
     // Valid after run().
@@ -189,6 +195,10 @@
     base::time_point randomCopyTime();
     void writeAgain();
     void slowStore();
+    void writeForeignEntriesAtTimes();
+    void writeForeignEntries();
+    void removeForeignEntries();
+    upstream_record drawForeignEntry();
     void killEverything();
     upstream &randomUpstream();
     process &randomProcess();
@@ -215,6 +225,9 @@
     // A separate source, so that a seed draws the same deployment with either kind of history.
     base::seeded_random m_storeRandom;
     const store_history m_history;
+    base::seeded_random m_writerRandom;
+    const store_writers m_writers;
+    std::set<std::string> m_foreignIds; // entries of other writers
     base::time_point m_now = atMilliseconds(0);
     std::uint64_t m_order = 0;
     struct event
--- a/packages/flow/tests/deployment_troubles.cpp
+++ b/packages/flow/tests/deployment_troubles.cpp
@@ -31,6 +31,13 @@
 // The operator writes the configuration again this long after a restore at the latest.
 constexpr base::duration longestConfigurationReturn = 500ms;
 
+// Entries of other writers.
+constexpr std::size_t manyForeignEntries = 500;
+constexpr std::uint64_t mostForeignSlots = 1024;
+// Addresses without a machine, between those of the agents and of the entry instances.
+constexpr std::uint32_t firstUnusedMachine = 500;
+constexpr std::uint32_t unusedMachines = 400;
+
 bool affectsAll(trouble kind)
 {
     return kind == trouble::storeOutage || kind == trouble::slowStore
@@ -352,6 +359,69 @@
     }
 }
 
+void deployment_simulation::writeForeignEntriesAtTimes()
+{
+    schedule(randomDuration(m_writerRandom, 100ms, 2s), [this] {
+        if (m_storeUp && m_writerRandom.below(3) == 0)
+            removeForeignEntries();
+        else if (m_storeUp)
+            writeForeignEntries();
+        writeForeignEntriesAtTimes();
+    });
+}
+
+void deployment_simulation::writeForeignEntries()
+{
+    const bool many = m_writerRandom.below(8) == 0;
+    const std::size_t count = many ? manyForeignEntries : 1 + m_writerRandom.below(5);
+    for (std::size_t i = 0; i < count; ++i) {
+        const upstream_record record = drawForeignEntry();
+        m_foreignIds.insert(record.id);
+        m_store.put(record, m_now);
+        ++m_counts.foreignEntries;
+    }
+}
+
+upstream_record deployment_simulation::drawForeignEntry()
+{
+    constexpr std::array<std::string_view, 3> services { "orders", "catalog", "unknown" };
+    upstream_record record;
+    const upstream_list list = m_store.upstreams();
+    if (!list.upstreams.empty())
+        record = list.upstreams[m_writerRandom.below(list.upstreams.size())];
+    record.id = "foreign-" + std::to_string(m_writerRandom.below(1000));
+    if (m_writerRandom.below(2) == 0) // no machine has this address
+        record.address.address = firstUnusedMachine
+                + static_cast<std::uint32_t>(m_writerRandom.below(unusedMachines));
+    // Which of two services at one start of an upstream is its own cannot be told from the list.
+    if (m_writerRandom.below(2) == 0) {
+        record.service = services[m_writerRandom.below(services.size())];
+        record.incarnation = 0;
+    }
+    if (m_writerRandom.below(2) == 0)
+        record.slots = 1 + static_cast<std::uint32_t>(m_writerRandom.below(mostForeignSlots));
+    if (m_writerRandom.below(4) == 0)
+        record.phase = upstream_phase::draining;
+    if (m_writerRandom.below(4) == 0)
+        record.phase = upstream_phase::ready;
+    if (m_writerRandom.below(3) == 0)
+        record.incarnation = 0;
+    if (m_writerRandom.below(3) == 0)
+        record.warmUpLeft = 1h;
+    return record;
+}
+
+void deployment_simulation::removeForeignEntries()
+{
+    const bool all = m_writerRandom.below(2) == 0;
+    while (!m_foreignIds.empty()) {
+        m_store.remove(*m_foreignIds.begin(), m_now);
+        m_foreignIds.erase(m_foreignIds.begin());
+        if (!all)
+            return;
+    }
+}
+
 void deployment_simulation::restoreStoreAtTimes()
 {
     schedule(randomDuration(m_storeRandom, 5s, 11s), [this] {
--- a/packages/flow/tests/entry_balancer_test.cpp
+++ b/packages/flow/tests/entry_balancer_test.cpp
@@ -282,7 +282,7 @@
 {
     publishLargeService(0);
     receive(packet(), 10);
-    const std::uint32_t owner = output.toAgents[0].machine;
+    const std::uint32_t owner = output.toAgents.back().machine;
     for (std::int64_t at = 11; at < 40; at += 5)
         balancer.tick(atMilliseconds(at));
     packet_head second = packet();
@@ -298,6 +298,88 @@
     CHECK_TRUE(output.toAgents.back().head.tag.kind == instruction::deliver);
 }
 
+// A request of several packets arrives at once. Its owner answers when it has all of them, and a
+// restarted agent claims the flow only then.
+TEST(entry_balancer, SilentUpstreamGetsAllPacketsOfTheSearch)
+{
+    publish(0);
+    for (const std::uint32_t sequence : { 100U, 200U, 300U }) {
+        packet_head head = packet();
+        head.sequence = sequence;
+        head.payloadSize = 100;
+        receive(head, 10);
+    }
+    for (const std::uint32_t machine : { 1U, 2U })
+        balancer.receiveMessage(machine, flow_denial { { client, ordersAddress } },
+                                atMilliseconds(12));
+    for (std::int64_t at = 15; at < 60; at += 5)
+        balancer.tick(atMilliseconds(at));
+
+    std::set<std::uint32_t> sequences;
+    for (const sent_packet &sent : output.toAgents) {
+        if (sent.machine == 3)
+            sequences.insert(sent.head.sequence);
+    }
+    CHECK_TRUE((sequences == std::set<std::uint32_t> { 100, 200, 300 }));
+}
+
+TEST(entry_balancer, ClaimantGetsAllPacketsOfTheSearchOnce)
+{
+    publishLargeService(0);
+    for (const std::uint32_t sequence : { 100U, 200U, 300U }) {
+        packet_head head = packet();
+        head.sequence = sequence;
+        head.payloadSize = 100;
+        receive(head, 10);
+    }
+    const std::uint32_t owner = output.toAgents.back().machine;
+    balancer.receiveMessage(owner, flow_claim { { { client, ordersAddress } } },
+                            atMilliseconds(12));
+
+    std::multiset<std::uint32_t> sequences;
+    for (const sent_packet &sent : output.toAgents) {
+        if (sent.machine == owner)
+            sequences.insert(sent.head.sequence);
+    }
+    CHECK_TRUE((sequences == std::multiset<std::uint32_t> { 100, 200, 300 }));
+}
+
+// Packets with the same time stamp were taken for one round, so that the second one reached nobody.
+TEST(entry_balancer, PacketsThatArriveAtOnceBeginRoundsOfTheirOwn)
+{
+    publish(0);
+    packet_head second = packet();
+    second.sequence = 77;
+    receive(packet(), 10);
+    output.toAgents.clear();
+    receive(second, 10);
+
+    CHECK_EQUAL(3, probedMachines().size());
+}
+
+// Thousands of flows are searched at once after a restart of all processes.
+TEST(entry_balancer, ManySearchesKeepOnePacketEach)
+{
+    publish(0);
+    for (std::uint16_t port = 1; port <= 300; ++port) {
+        for (const std::uint32_t sequence : { 100U, 200U }) {
+            packet_head head = packet();
+            head.source.port = port;
+            head.sequence = sequence;
+            receive(head, 10);
+        }
+    }
+    const base::endpoint lastClient { client.address, 300 };
+    upstreams.upstreams.push_back(record(9));
+    publish(13);
+    output.toAgents.clear();
+    balancer.receiveMessage(9, flow_claim { { { lastClient, ordersAddress } } },
+                            atMilliseconds(14));
+
+    CHECK_EQUAL(1, output.toAgents.size());
+    CHECK_EQUAL(200, output.toAgents.front().head.sequence);
+}
+
 // Otherwise the event loop spins until the next search.
 TEST(entry_balancer, ClaimThatEndsASearchBetweenItsRoundsLeavesNoWakeUp)
 {
@@ -970,3 +1052,139 @@
 
     CHECK_EQUAL(1, balancer.counters().malformed);
 }
+
+// Entries of other writers may be complete but for the service. Hellos to their addresses would be
+// sent for as long as the entries are there.
+TEST(entry_balancer, EntryOfAServiceThatNoRouteHasGetsNoHellos)
+{
+    upstreams.upstreams.push_back(record(50, "unknown"));
+    publish(0);
+    balancer.tick(atMilliseconds(500));
+
+    CHECK_TRUE(hellos() > 0);
+    CHECK_TRUE(std::ranges::none_of(output.messages,
+                                    [](const auto &item) { return item.first == 50; }));
+}
+
+// A route must work from its first packet on, without a wait for the next list.
+TEST(entry_balancer, UpstreamIsUsedAsSoonAsARouteHasItsService)
+{
+    upstreams.upstreams.push_back(record(50, "new-service"));
+    publish(0);
+    routes.version = 6;
+    routes.routes.push_back({ unknownAddress, { { "new-service", 1 } } });
+    balancer.finishRead(routes, std::nullopt, atMilliseconds(100), atMilliseconds(100));
+    receive(opening(0, unknownAddress), 110);
+
+    CHECK_EQUAL(1, output.toAgents.size());
+    CHECK_EQUAL(50, output.toAgents.front().machine);
+}
+
+// The claims of its open flows must still arrive when its route is removed and added again.
+TEST(entry_balancer, ReportingUpstreamGetsHellosWhenItsRouteIsRemoved)
+{
+    publish(0);
+    routes.version = 6;
+    routes.routes.clear();
+    publish(100);
+    balancer.receiveMessage(1, load_report { .bootId = 3 }, atMilliseconds(450));
+    output.messages.clear();
+    balancer.tick(atMilliseconds(510));
+
+    CHECK_EQUAL(1, hellos());
+    CHECK_EQUAL(1, output.messages.front().first);
+}
+
+// Two entries at one address replaced each other with every list, so that the reports of the agent
+// were lost each time.
+TEST(entry_balancer, CopyOfAnEntryDoesNotReplaceItsUpstream)
+{
+    upstream_record copy = record(1);
+    copy.id = "i-0-copy";
+    copy.slots = 9;
+    publish(0);
+    upstreams.upstreams.push_back(copy);
+    upstreams.upstreams.insert(upstreams.upstreams.begin(), copy);
+    const int changes = observer.changes;
+    publish(100);
+    publish(200);
+
+    CHECK_EQUAL(changes, observer.changes);
+    STRCMP_EQUAL("i-1", balancer.directory().find(1)->record.id.c_str());
+    CHECK_EQUAL(2, balancer.directory().find(1)->record.slots);
+}
+
+// Which of two entries for the same start is the upstream's cannot be told. New flows at an
+// upstream that drains are lost with it.
+TEST(entry_balancer, UpstreamIsNotUsedWhileOneOfItsEntriesDrains)
+{
+    upstreams.upstreams = { record(1) };
+    upstream_record copy = record(1);
+    copy.id = "i-0-copy";
+    copy.phase = upstream_phase::draining;
+    upstreams.upstreams.push_back(copy);
+    publish(0);
+    receive(opening(), 10);
+    CHECK_EQUAL(0, output.toAgents.size());
+
+    upstreams.upstreams.pop_back();
+    publish(100);
+    receive(opening(), 110);
+    CHECK_EQUAL(1, output.toAgents.size());
+}
+
+// An entry with an earlier start is one of a former upstream.
+TEST(entry_balancer, EntryOfAnEarlierStartThatDrainsDoesNotCount)
+{
+    upstreams.upstreams = { record(1) };
+    upstream_record former = record(1);
+    former.id = "i-former";
+    former.incarnation = 0;
+    former.phase = upstream_phase::draining;
+    upstreams.upstreams.push_back(former);
+    publish(0);
+    receive(opening(), 10);
+
+    CHECK_EQUAL(1, output.toAgents.size());
+}
+
+// A former upstream's entry may be listed beside that of the present one until it lapses.
+TEST(entry_balancer, EntryOfTheUpstreamThatStartedLastCounts)
+{
+    upstream_record former = record(1);
+    former.id = "i-9-former";
+    former.incarnation = 0;
+    upstreams.upstreams.push_back(former);
+    publish(0);
+
+    STRCMP_EQUAL("i-1", balancer.directory().find(1)->record.id.c_str());
+}
+
+// Entries of other writers name machines without agents. Summaries sent there reach nobody, and
+// every instance reads the store itself.
+TEST(entry_balancer, SummariesGoToAgentsThatReport)
+{
+    upstreams.upstreams = { record(1), record(2), record(3), record(4), record(5), record(6) };
+    publish(0);
+    for (const std::uint32_t machine : { 4U, 5U, 6U })
+        balancer.receiveMessage(machine, load_report { .bootId = 3 }, atMilliseconds(50));
+    output.messages.clear();
+    publish(100);
+
+    std::set<std::uint32_t> receivers;
+    for (const auto &[machine, message] : output.messages) {
+        if (std::holds_alternative<view_summary>(message))
+            receivers.insert(machine);
+    }
+    CHECK_TRUE((receivers == std::set<std::uint32_t> { 4, 5, 6 }));
+}
+
+// The list is followed although the configuration cannot be read, and the other way round.
+TEST(entry_balancer, ListAndConfigurationAreAppliedIndependently)
+{
+    upstreams.revision = { era, ++revision };
+    balancer.finishRead(std::nullopt, upstreams, atMilliseconds(0), atMilliseconds(0));
+    CHECK_TRUE(balancer.directory().find(1) != nullptr);
+    balancer.finishRead(routes, std::nullopt, atMilliseconds(10), atMilliseconds(10));
+    CHECK_EQUAL(5, balancer.view().configuration().version);
+}
--- a/packages/flow/tests/flow_agent_test.cpp
+++ b/packages/flow/tests/flow_agent_test.cpp
@@ -2,6 +2,8 @@
 
 #include "flow_fakes.h"
 
+#include <limits>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace oriolehold;
@@ -707,3 +709,13 @@
     CHECK_EQUAL(1, summary.size());
     CHECK_TRUE(summary[0].upstreamRevision == list.revision);
 }
+
+// The limit of requests at the upstream wrapped around to 0, so that all requests were held.
+TEST(flow_agent, LargestNumberOfSlotsHoldsNoRequest)
+{
+    sendHello(1, std::numeric_limits<std::uint32_t>::max());
+    request(1, 0);
+    request(2, 0);
+
+    CHECK_EQUAL(2, portsOfRequests().size());
+}
--- a/packages/flow/tests/flow_random_test.cpp
+++ b/packages/flow/tests/flow_random_test.cpp
@@ -143,6 +143,22 @@
     }
 }
 
+// Entries of other writers may be complete: copies of entries, and upstreams that do not exist.
+TEST(flow_random, PromisesHoldAmongEntriesOfOtherWriters)
+{
+    using simulation_type = deployment_simulation;
+    constexpr std::uint64_t lastInCi = 20;
+    const auto [first, last] = seeds(lastInCi);
+    for (std::uint64_t seed = first; seed <= last; ++seed) {
+        simulation_type simulation(seed, simulation_type::store_history::continuous,
+                                   simulation_type::store_writers::othersToo);
+        const std::string violation = simulation.run(std::chrono::seconds { 30 });
+        const std::string text = "seed " + std::to_string(seed) + " (other writers): " + violation;
+        CHECK_TRUE_TEXT(violation.empty(), text.c_str());
+        CHECK_TRUE(simulation.counts().foreignEntries > 0);
+    }
+}
+
 // The checks of a restored store are only meaningful if the runs restore it, with traffic.
 TEST(flow_random, RunsWithARestoredStoreIncludeRestores)
 {
--- a/packages/flow/tests/view_exchange_test.cpp
+++ b/packages/flow/tests/view_exchange_test.cpp
@@ -193,3 +193,20 @@
     CHECK_FALSE(receiver.receive(1, view_page { document_kind::configuration, 9, {}, 0, 0, { 1 } },
                                  atMilliseconds(0)));
 }
+
+// The difference of the present time and such an age overflows.
+TEST(view_exchange, ContentWithAnImplausibleAgeIsIgnored)
+{
+    reader.applyConfiguration(configurationOf(3));
+    reader.applyUpstreams(listOf(10, "a"), atMilliseconds(0), atMilliseconds(0));
+    for (const base::duration age :
+         { base::duration::min(), base::duration { -1 }, base::duration::max() }) {
+        view_summary summary = reader.summary(atMilliseconds(5));
+        summary.age = age;
+        CHECK_FALSE(receiver.receive(1, summary, atMilliseconds(5)));
+        CHECK_EQUAL(0, otherOutput.messages.size());
+        CHECK_FALSE(receiver.receive(
+                1, view_page { document_kind::upstreams, 1, age, 0, 1, base::byte_vector(4, 1) },
+                atMilliseconds(5)));
+    }
+}
--- a/packages/runtime/src/internal/json_object.h
+++ b/packages/runtime/include/oriolehold/runtime/json_object.h
@@ -15,7 +15,7 @@
 
 // Strict parsing of JSON documents. Keeps the first error with the path of the invalid value.
 
-namespace oriolehold::runtime::internal {
+namespace oriolehold::runtime {
 
 struct field_error
 {
@@ -34,9 +34,20 @@
     std::optional<field_error> m_first;
 };
 
-// Parses JSON with comments. Reports a syntax error with its byte position, a duplicate field, or
-// text larger than maximumSize bytes; the result is then null.
-nlohmann::json parseJson(std::string_view text, std::size_t maximumSize, error_collector &errors);
+// Limits of a JSON text. They are applied while it is parsed, before anything walks through the
+// values: copies, comparisons and output recurse once a level.
+struct json_limits
+{
+    std::size_t maxSize = 0;   // bytes
+    std::size_t maxDepth = 32; // levels of nested arrays and objects
+    // Elements and fields at all levels. Each takes up to 64 bytes of memory.
+    std::size_t maxValues = 200'000;
+    bool allowComments = true;
+};
+
+// Parses JSON. Reports a syntax error with its byte position, a duplicate field, or text beyond the
+// limits; the result is then null.
+nlohmann::json parseJson(std::string_view text, const json_limits &limits, error_collector &errors);
 
 // Typed access to the fields of one JSON object. Each query records the field that it reads;
 // reportUnknownFields() reports the others. After an error the queries return defaults, so callers
@@ -110,4 +121,4 @@
 inline constexpr std::string_view identifierRule = "1 to 64 letters, digits, '.', '_' or '-'";
 inline constexpr std::string_view addressRule = "an address \"a.b.c.d:port\"";
 
-} // namespace oriolehold::runtime::internal
+} // namespace oriolehold::runtime
--- a/packages/runtime/src/configuration_document.cpp
+++ b/packages/runtime/src/configuration_document.cpp
@@ -1,6 +1,6 @@
 #include "oriolehold/runtime/configuration_document.h"
 
-#include "internal/json_object.h"
+#include "oriolehold/runtime/json_object.h"
 
 #include <algorithm>
 #include <set>
@@ -10,8 +10,6 @@
 
 namespace {
 
-using internal::json_object;
-
 constexpr std::size_t maxKeys = 256;
 constexpr std::size_t maxServices = 4096;
 constexpr std::size_t maxClasses = 256;
@@ -74,7 +72,7 @@
 class document_reader
 {
 public:
-    explicit document_reader(internal::error_collector &errors) : m_errors(errors) { }
+    explicit document_reader(error_collector &errors) : m_errors(errors) { }
 
     core::configuration_content read(const nlohmann::json &json)
     {
@@ -197,7 +195,7 @@
         return address;
     }
 
-    internal::error_collector &m_errors;
+    error_collector &m_errors;
     unique_values<std::uint8_t> m_keys;
     unique_values<core::service_id> m_services;
     unique_values<std::string> m_serviceNames;
@@ -259,8 +257,8 @@
 
 boost::leaf::result<core::configuration_content> parseDocument(std::string_view json)
 {
-    internal::error_collector errors;
-    const nlohmann::json root = internal::parseJson(json, maxDocumentSize, errors);
+    error_collector errors;
+    const nlohmann::json root = parseJson(json, { .maxSize = maxDocumentSize }, errors);
     core::configuration_content content;
     if (!errors.first())
         content = document_reader(errors).read(root);
--- a/packages/runtime/src/http_client.cpp
+++ b/packages/runtime/src/http_client.cpp
@@ -17,6 +17,9 @@
 // Interval at which a request checks the stop flag.
 constexpr std::chrono::milliseconds stopInterval { 100 };
 
+// A body that keeps arriving may take this many times the timeout in all.
+constexpr int maxTimeoutExtension = 4;
+
 std::string hostOf(core::endpoint server)
 {
     const std::string text = core::toString(server);
@@ -42,9 +45,15 @@
         cxxtools::http::Request request(path);
         request.qparams(query);
         request.setHeader("Connection", "close");
-        const clock::time_point end = clock::now() + timeout;
+        const clock::time_point latestEnd = clock::now() + maxTimeoutExtension * timeout;
+        clock::time_point end = clock::now() + timeout;
+        std::size_t received = 0;
         m_client.beginExecute(request);
         while (!m_finished && !m_tooLarge && !stopped.load()) {
+            // A large body takes long on a slow link; it is awaited as long as it arrives.
+            if (m_body.size() > received)
+                end = std::min(clock::now() + timeout, latestEnd);
+            received = m_body.size();
             const auto left = std::chrono::ceil<std::chrono::milliseconds>(end - clock::now());
             if (left.count() <= 0)
                 return std::nullopt;
--- a/packages/runtime/src/internal/json_object.cpp
+++ b/packages/runtime/src/json_object.cpp
@@ -1,13 +1,14 @@
-#include "internal/json_object.h"
+#include "oriolehold/runtime/json_object.h"
 
 #include "oriolehold/runtime/endpoint_text.h"
 
+#include <boost/unordered/unordered_flat_set.hpp>
+
 #include <algorithm>
 #include <cctype>
-#include <set>
 #include <utility>
 
-namespace oriolehold::runtime::internal {
+namespace oriolehold::runtime {
 
 namespace {
 
@@ -18,27 +19,67 @@
     return "an integer from " + std::to_string(minimum) + " to " + std::to_string(maximum);
 }
 
-// Parser callback that finds duplicate fields in an object. Without it nlohmann::json keeps the
-// last value and reports no error.
-class duplicate_finder
+// Thrown by the parser callback to end the parser at once.
+struct limit_exceeded
+{
+    std::string expected;
+};
+
+// Parser callback that enforces the limits and finds duplicate fields in an object. Without it
+// nlohmann::json keeps the last value of a field and reports no error.
+class structure_checker
 {
 public:
-    bool operator()(int, nlohmann::json::parse_event_t event, nlohmann::json &parsed)
+    explicit structure_checker(const json_limits &limits) : m_limits(limits) { }
+
+    bool operator()(int depth, nlohmann::json::parse_event_t event, nlohmann::json &parsed)
     {
         using event_type = nlohmann::json::parse_event_t;
-        if (event == event_type::object_start)
+        switch (event) {
+        case event_type::object_start:
+            beginValue(depth);
             m_fields.emplace_back();
-        else if (event == event_type::object_end)
+            break;
+        case event_type::array_start:
+            beginValue(depth);
+            break;
+        case event_type::value:
+            countValue();
+            break;
+        case event_type::key:
+            if (!m_fields.back().insert(parsed.get_ref<const std::string &>()).second
+                && !m_duplicate)
+                m_duplicate = parsed.get<std::string>();
+            break;
+        case event_type::object_end:
             m_fields.pop_back();
-        else if (event == event_type::key && !m_fields.back().insert(parsed).second && !m_duplicate)
-            m_duplicate = parsed.get<std::string>();
+            break;
+        case event_type::array_end:
+            break;
+        }
         return true;
     }
 
     const std::optional<std::string> &duplicate() const { return m_duplicate; }
 
 private:
-    std::vector<std::set<std::string>> m_fields;
+    void beginValue(int depth)
+    {
+        if (static_cast<std::size_t>(depth) >= m_limits.maxDepth)
+            throw limit_exceeded { "at most " + std::to_string(m_limits.maxDepth)
+                                   + " nested arrays and objects" };
+        countValue();
+    }
+
+    void countValue()
+    {
+        if (++m_values > m_limits.maxValues)
+            throw limit_exceeded { "at most " + std::to_string(m_limits.maxValues) + " values" };
+    }
+
+    const json_limits &m_limits;
+    std::size_t m_values = 0;
+    std::vector<boost::unordered_flat_set<std::string>> m_fields; // of the open objects
     std::optional<std::string> m_duplicate;
 };
 
@@ -50,21 +91,23 @@
         m_first = field_error { std::move(path), std::move(expected) };
 }
 
-nlohmann::json parseJson(std::string_view text, std::size_t maximumSize, error_collector &errors)
+nlohmann::json parseJson(std::string_view text, const json_limits &limits, error_collector &errors)
 {
-    if (text.size() > maximumSize) {
-        errors.report("", "at most " + std::to_string(maximumSize) + " bytes");
+    if (text.size() > limits.maxSize) {
+        errors.report("", "at most " + std::to_string(limits.maxSize) + " bytes");
         return {};
     }
     try {
-        duplicate_finder finder;
-        nlohmann::json result =
-                nlohmann::json::parse(text.begin(), text.end(), std::ref(finder), true, true);
-        if (finder.duplicate()) {
-            errors.report(*finder.duplicate(), "a field only once per object");
+        structure_checker checker(limits);
+        nlohmann::json result = nlohmann::json::parse(text.begin(), text.end(), std::ref(checker),
+                                                      true, limits.allowComments);
+        if (checker.duplicate()) {
+            errors.report(*checker.duplicate(), "a field only once per object");
             return {};
         }
         return result;
+    } catch (const limit_exceeded &limit) {
+        errors.report("", limit.expected);
     } catch (const nlohmann::json::parse_error &error) {
         errors.report("", "valid JSON; the error is at byte " + std::to_string(error.byte));
     } catch (const nlohmann::json::exception &error) {
@@ -242,4 +285,4 @@
     });
 }
 
-} // namespace oriolehold::runtime::internal
+} // namespace oriolehold::runtime
--- a/packages/runtime/src/log_events.cpp
+++ b/packages/runtime/src/log_events.cpp
@@ -131,7 +131,7 @@
           "An upstream began or ended its drain." },
         { log_event::upstreamRestarted, "upstream-restarted", log_level::info, 0ms,
           "An upstream restarted; it holds none of its earlier flows." },
-        { log_event::upstreamEntryRejected, "upstream-entry-rejected", log_level::warning, 1000ms,
+        { log_event::upstreamEntryRejected, "upstream-entry-rejected", log_level::warning, 0ms,
           "An entry of the store does not describe a usable upstream." },
         { log_event::storeUnreachable, "store-unreachable", log_level::warning, 0ms,
           "The store does not respond; the view is no longer updated." },
--- a/packages/runtime/src/settings.cpp
+++ b/packages/runtime/src/settings.cpp
@@ -1,7 +1,7 @@
 #include "oriolehold/runtime/settings.h"
 
-#include "internal/json_object.h"
 #include "oriolehold/runtime/endpoint_text.h"
+#include "oriolehold/runtime/json_object.h"
 
 #include <algorithm>
 #include <fstream>
@@ -11,9 +11,6 @@
 
 namespace {
 
-using internal::error_collector;
-using internal::json_object;
-
 constexpr std::size_t maxSettingsSize = std::size_t { 256 } * 1024; // bytes
 constexpr std::size_t maxListeners = 1024;
 constexpr std::size_t maxPeers = 64;
@@ -66,7 +63,7 @@
                 ? parseEndpoint(element.get_ref<const std::string &>())
                 : std::nullopt;
         if (!address)
-            errors.report(path, std::string(internal::addressRule));
+            errors.report(path, std::string(addressRule));
         else if (std::ranges::find(result, *address) != result.end())
             errors.report(path, "a unique value");
         else
@@ -116,8 +113,7 @@
     settings.listeners = readListeners(root);
     settings.trafficThreads = static_cast<unsigned>(
             root.integerOr("traffic_threads", settings.trafficThreads, 1, maxTrafficThreads));
-    settings.policy = root.textOr("policy", settings.policy, internal::isIdentifier,
-                                  internal::identifierRule);
+    settings.policy = root.textOr("policy", settings.policy, isIdentifier, identifierRule);
     settings.suspectAfter = std::chrono::milliseconds { root.integerOr(
             "suspect_after_ms", static_cast<std::uint64_t>(settings.suspectAfter.count()),
             minSuspectAfter, maxSuspectAfter) };
@@ -130,8 +126,7 @@
     settings.id = core::upstream_id { root.integer<std::uint16_t>("id") };
     readCommon(root, errors, settings);
     settings.upstream = root.address("upstream");
-    settings.scheduler = root.textOr("scheduler", settings.scheduler, internal::isIdentifier,
-                                     internal::identifierRule);
+    settings.scheduler = root.textOr("scheduler", settings.scheduler, isIdentifier, identifierRule);
     settings.maxQueued = root.integerOr("max_queued", settings.maxQueued, 1, maxQueueLength);
     settings.maxLedger = root.integerOr("max_ledger", settings.maxLedger, 1, maxLedgerSize);
     settings.keepAlive = std::chrono::milliseconds { root.integerOr(
@@ -186,7 +181,7 @@
                                     Settings (*read)(json_object &, error_collector &))
 {
     error_collector errors;
-    const nlohmann::json value = internal::parseJson(json, maxSettingsSize, errors);
+    const nlohmann::json value = parseJson(json, { .maxSize = maxSettingsSize }, errors);
     Settings settings;
     if (!errors.first()) {
         json_object root(value, "", errors);
--- a/packages/wire/src/envelope.cpp
+++ b/packages/wire/src/envelope.cpp
@@ -25,8 +25,8 @@
     template<typename Archive>
     void save(Archive &archive) const
     {
-        saveSize(archive, queries.size());
-        for (std::string &query : queries)
+        const std::size_t size = saveSize(archive, queries.size());
+        for (std::string &query : std::span(queries).first(size))
             archive(bytes(query));
     }
 
--- a/packages/wire/src/internal/serialization.h
+++ b/packages/wire/src/internal/serialization.h
@@ -5,6 +5,8 @@
 #include <cereal/archives/portable_binary.hpp>
 
 #include <algorithm>
+#include <limits>
+#include <span>
 
 // Serialization of the types that the envelope and the flow codec share.
 
@@ -24,10 +26,14 @@
 // for a corrupt prefix.
 inline constexpr std::uint16_t maxElements = 2048;
 
+// Returns the number of elements to save: those beyond the bound are left out, so that the rest of
+// the message stays readable.
 template<typename Archive>
-void saveSize(Archive &archive, std::size_t size)
+std::size_t saveSize(Archive &archive, std::size_t size)
 {
-    archive(static_cast<std::uint16_t>(std::min<std::size_t>(size, maxElements)));
+    const std::size_t saved = std::min<std::size_t>(size, maxElements);
+    archive(static_cast<std::uint16_t>(saved));
+    return saved;
 }
 
 template<typename Archive>
@@ -49,8 +55,8 @@
     template<typename Archive>
     void save(Archive &archive) const
     {
-        saveSize(archive, container.size());
-        archive(cereal::binary_data(container.data(), container.size()));
+        const std::size_t size = saveSize(archive, container.size());
+        archive(cereal::binary_data(container.data(), size));
     }
 
     template<typename Archive>
@@ -127,8 +133,10 @@
     template<typename Archive>
     void save(Archive &archive) const
     {
-        archive(static_cast<std::uint16_t>(items.size()));
-        for (Item &item : items)
+        constexpr std::size_t maxItems = std::numeric_limits<std::uint16_t>::max();
+        const std::size_t size = std::min(items.size(), maxItems);
+        archive(static_cast<std::uint16_t>(size));
+        for (Item &item : std::span(items).first(size))
             archive(item);
     }
 
--- a/packages/wire/tests/flow_codec_test.cpp
+++ b/packages/wire/tests/flow_codec_test.cpp
@@ -141,3 +141,18 @@
         }
     }
 }
+
+// A name beyond the bound of its length prefix made the rest of the list unreadable for every
+// receiver, for as long as the entry with it was there.
+TEST(flow_codec, ListWithANameThatIsTooLongStaysReadable)
+{
+    flow::upstream_list list = listExample();
+    list.upstreams.push_back(list.upstreams.front());
+    list.upstreams.front().service = std::string(5000, 's');
+
+    const auto decoded = documents.decodeUpstreams(documents.encode(list));
+    CHECK_TRUE(decoded.has_value());
+    CHECK_EQUAL(2, decoded->upstreams.size());
+    CHECK_TRUE(decoded->upstreams.back() == list.upstreams.back());
+    CHECK_TRUE(decoded->revision == list.revision);
+}
