--- a/packages/agent/include/oriolehold/agent/flow_agent_daemon.h
+++ b/packages/agent/include/oriolehold/agent/flow_agent_daemon.h
@@ -3,6 +3,7 @@
 #include "oriolehold/admin/admin_server.h"
 #include "oriolehold/daemon/decision_log.h"
 #include "oriolehold/daemon/managed_process.h"
+#include "oriolehold/daemon/message_counters.h"
 #include "oriolehold/flow/flow_agent.h"
 #include "oriolehold/net/event_loop.h"
 #include "oriolehold/net/udp_socket.h"
@@ -38,10 +39,11 @@
     {
     public:
         socket_output(net::udp_socket &packets, net::udp_socket &upstream,
-                      net::udp_socket &messages, const core::endpoint &upstreamAddress)
+                      net::udp_socket &messages, const core::endpoint &upstreamAddress,
+                      daemon::message_counters &counters)
             : m_packets(packets), m_upstream(upstream), m_messages(messages),
               m_upstreamAddress(upstreamAddress), m_packetPort(packets.local().port),
-              m_messagePort(messages.local().port)
+              m_messagePort(messages.local().port), m_counters(counters)
         { }
         void sendToUpstream(core::byte_view packet) override;
         void sendToClient(std::uint32_t client, core::byte_view packet) override;
@@ -56,6 +58,7 @@
         const core::endpoint m_upstreamAddress;
         const std::uint16_t m_packetPort;
         const std::uint16_t m_messagePort;
+        daemon::message_counters &m_counters;
         core::byte_vector m_scratch;
     };
 
@@ -79,6 +82,7 @@
     net::udp_socket m_packets;
     net::udp_socket m_upstream;
     net::udp_socket m_messages;
+    daemon::message_counters m_messageCounters; // traffic thread only
     socket_output m_output;
     daemon::decision_log m_log;
     flow::flow_agent m_agent; // traffic thread only
@@ -86,8 +90,9 @@
 
     std::atomic<bool> m_draining { false };
     mutable std::mutex m_metricsMutex;
-    flow::agent_counters m_publishedCounters; // guarded by m_metricsMutex
-    std::size_t m_publishedFlows = 0;         // guarded by m_metricsMutex
+    flow::agent_counters m_publishedCounters;            // guarded by m_metricsMutex
+    daemon::message_counters m_publishedMessageCounters; // guarded by m_metricsMutex
+    std::size_t m_publishedFlows = 0;                    // guarded by m_metricsMutex
     std::thread m_trafficThread;
 };
 
--- a/packages/agent/src/flow_agent_daemon.cpp
+++ b/packages/agent/src/flow_agent_daemon.cpp
@@ -37,6 +37,7 @@
                                                    const flow::peer_message &message)
 {
     wire::encodeFlowMessage(message, m_scratch);
+    m_counters.sent(message, m_scratch.size());
     m_messages.send({ machine, m_messagePort }, m_scratch);
 }
 
@@ -44,9 +45,9 @@
                                      const flow::packet_codec &codec)
     : m_settings(settings), m_packets(settings.packets), m_upstream(settings.upstreamPackets),
       m_messages({ settings.packets.address, settings.peerPort }),
-      m_output(m_packets, m_upstream, m_messages, settings.upstream), m_log(settings.service),
-      m_agent({ daemon::systemRandomNumber(), settings.service }, codec, m_documents, m_output,
-              m_log),
+      m_output(m_packets, m_upstream, m_messages, settings.upstream, m_messageCounters),
+      m_log(settings.service), m_agent({ daemon::systemRandomNumber(), settings.service }, codec,
+                                       m_documents, m_output, m_log),
       m_admin(daemon::adminAddresses(settings), *this)
 { }
 
@@ -102,8 +103,11 @@
 {
     const core::time_point now = m_clock.now();
     for (const net::datagram &item : m_messages.receive()) {
-        if (const auto message = wire::decodeFlowMessage(item.bytes))
-            m_agent.receiveMessage(item.peer.address, *message, now);
+        const auto message = wire::decodeFlowMessage(item.bytes);
+        if (!message)
+            continue;
+        m_messageCounters.received(*message, item.bytes.size());
+        m_agent.receiveMessage(item.peer.address, *message, now);
     }
 }
 
@@ -115,6 +119,7 @@
     m_messages.flush();
     const std::scoped_lock lock(m_metricsMutex);
     m_publishedCounters = m_agent.counters();
+    m_publishedMessageCounters = m_messageCounters;
     m_publishedFlows = m_agent.openFlows();
     return wait;
 }
@@ -136,8 +141,9 @@
     add("flow_refused_total", "counter", m_publishedCounters.refused);
     add("flow_absent_total", "counter", m_publishedCounters.absent);
     add("flow_claims_total", "counter", m_publishedCounters.claims);
+    add("flow_search_relays_total", "counter", m_publishedCounters.relayed);
     add("flows_open", "gauge", m_publishedFlows);
-    return text + m_log.histograms();
+    return text + m_publishedMessageCounters.text() + m_log.histograms();
 }
 
 } // namespace oriolehold::agent
--- a/packages/entry/include/oriolehold/entry/flow_entry_daemon.h
+++ b/packages/entry/include/oriolehold/entry/flow_entry_daemon.h
@@ -3,6 +3,7 @@
 #include "oriolehold/admin/admin_server.h"
 #include "oriolehold/daemon/decision_log.h"
 #include "oriolehold/daemon/managed_process.h"
+#include "oriolehold/daemon/message_counters.h"
 #include "oriolehold/flow/entry_balancer.h"
 #include "oriolehold/net/event_loop.h"
 #include "oriolehold/net/udp_socket.h"
@@ -43,9 +44,10 @@
     class socket_output final : public flow::entry_output
     {
     public:
-        socket_output(net::udp_socket &packets, net::udp_socket &messages)
+        socket_output(net::udp_socket &packets, net::udp_socket &messages,
+                      daemon::message_counters &counters)
             : m_packets(packets), m_messages(messages), m_packetPort(packets.local().port),
-              m_messagePort(messages.local().port)
+              m_messagePort(messages.local().port), m_counters(counters)
         { }
         void sendToAgent(std::uint32_t machine, core::byte_view packet) override;
         void sendToClient(std::uint32_t client, core::byte_view packet) override;
@@ -56,6 +58,7 @@
         net::udp_socket &m_messages;
         const std::uint16_t m_packetPort;
         const std::uint16_t m_messagePort;
+        daemon::message_counters &m_counters;
         core::byte_vector m_scratch;
     };
 
@@ -84,6 +87,7 @@
     net::event_loop m_loop;
     net::udp_socket m_packets;
     net::udp_socket m_messages;
+    daemon::message_counters m_messageCounters; // traffic thread only
     socket_output m_output;
     daemon::decision_log m_log;
     core::seeded_random m_random;
@@ -104,8 +108,9 @@
     std::atomic<bool> m_draining { false };
     mutable std::atomic<unsigned> m_failedReadyChecks { 0 }; // since the drain began
     mutable std::mutex m_metricsMutex;
-    flow::entry_counters m_publishedCounters;        // guarded by m_metricsMutex
-    flow::source_counters m_publishedSourceCounters; // guarded by m_metricsMutex
+    flow::entry_counters m_publishedCounters;            // guarded by m_metricsMutex
+    flow::source_counters m_publishedSourceCounters;     // guarded by m_metricsMutex
+    daemon::message_counters m_publishedMessageCounters; // guarded by m_metricsMutex
     std::thread m_trafficThread;
     std::thread m_controlThread;
 };
--- a/packages/entry/src/flow_entry_daemon.cpp
+++ b/packages/entry/src/flow_entry_daemon.cpp
@@ -42,6 +42,7 @@
                                                    const flow::peer_message &message)
 {
     wire::encodeFlowMessage(message, m_scratch);
+    m_counters.sent(message, m_scratch.size());
     m_messages.send({ machine, m_messagePort }, m_scratch);
 }
 
@@ -49,8 +50,9 @@
                                      const flow::packet_codec &codec,
                                      const view_source_factory &makeSource)
     : m_settings(settings), m_makeSource(makeSource), m_packets(settings.packets),
-      m_messages({ settings.packets.address, settings.peerPort }), m_output(m_packets, m_messages),
-      m_log({}), m_random(daemon::systemRandomNumber()), m_policy(m_random),
+      m_messages({ settings.packets.address, settings.peerPort }),
+      m_output(m_packets, m_messages, m_messageCounters), m_log({}),
+      m_random(daemon::systemRandomNumber()), m_policy(m_random),
       m_balancer({ m_random.next(), settings.zone, machinesOf(settings.seeds) }, codec, m_documents,
                  m_policy, m_output, m_log),
       m_source(makeSource(settings.store, m_stopped)),
@@ -105,8 +107,11 @@
 {
     const core::time_point now = m_clock.now();
     for (const net::datagram &item : m_messages.receive()) {
-        if (const auto message = wire::decodeFlowMessage(item.bytes))
-            m_balancer.receiveMessage(item.peer.address, *message, now);
+        const auto message = wire::decodeFlowMessage(item.bytes);
+        if (!message)
+            continue;
+        m_messageCounters.received(*message, item.bytes.size());
+        m_balancer.receiveMessage(item.peer.address, *message, now);
     }
 }
 
@@ -121,6 +126,7 @@
     updateReadiness(now);
     const std::scoped_lock lock(m_metricsMutex);
     m_publishedCounters = m_balancer.counters();
+    m_publishedMessageCounters = m_messageCounters;
     return m_ready.load() ? wait : std::min(wait, readyCheckInterval);
 }
 
@@ -264,6 +270,7 @@
     counter("flow_replaced_total", m_publishedCounters.replaced);
     counter("flow_searches_total", m_publishedCounters.searches);
     counter("flow_probes_total", m_publishedCounters.probes);
+    counter("flow_search_relays_total", m_publishedCounters.relays);
     counter("flow_found_total", m_publishedCounters.found);
     counter("flow_searches_abandoned_total", m_publishedCounters.abandoned);
     counter("flow_owner_changes_total", m_publishedCounters.changed);
@@ -274,7 +281,7 @@
     counter("store_entries_rejected_total", m_publishedSourceCounters.rejections);
     text += "# TYPE oriolehold_store_entries_rejected gauge\noriolehold_store_entries_rejected "
             + std::to_string(m_publishedSourceCounters.rejectedEntries) + "\n";
-    return text + m_log.histograms();
+    return text + m_publishedMessageCounters.text() + m_log.histograms();
 }
 
 } // namespace oriolehold::entry
--- a/packages/net/include/oriolehold/net/udp_socket.h
+++ b/packages/net/include/oriolehold/net/udp_socket.h
@@ -27,6 +27,7 @@
     static constexpr std::size_t batchSize = 32;
     // In bytes. Longer datagrams are truncated to this size; the decoders reject them as oversized.
     static constexpr std::size_t maxReceiveSize = 2048;
+    static constexpr std::size_t maxUnreachablePeers = 1024;
 
     // Binds to the address; port 0 picks a free port. Throws std::system_error on failure.
     // With reusePort set, several sockets can bind to the same address, and the kernel distributes
@@ -49,15 +50,20 @@
     void flush();
     std::uint64_t sendFailures() const { return m_sendFailures; }
 
-    // Returns the peers reported as unreachable (ICMP port unreachable) since the last call.
+    // Returns the peers reported as unreachable (ICMP port unreachable) since the last call, at
+    // most maxUnreachablePeers.
     std::vector<base::endpoint> takeUnreachablePeers();
 
 private:
     struct buffers;
 
+    // Empties the queue of errors. The socket stays ready as long as it holds one.
+    void readErrors();
+
     int m_descriptor = -1;
     std::unique_ptr<buffers> m_buffers;
     std::uint64_t m_sendFailures = 0;
+    std::vector<base::endpoint> m_unreachablePeers;
 };
 
 } // namespace oriolehold::net
--- a/packages/net/src/udp_socket.cpp
+++ b/packages/net/src/udp_socket.cpp
@@ -108,7 +108,7 @@
 
 udp_socket::udp_socket(udp_socket &&other) noexcept
     : m_descriptor(std::exchange(other.m_descriptor, -1)), m_buffers(std::move(other.m_buffers)),
-      m_sendFailures(other.m_sendFailures)
+      m_sendFailures(other.m_sendFailures), m_unreachablePeers(std::move(other.m_unreachablePeers))
 { }
 
 base::endpoint udp_socket::local() const
@@ -133,8 +133,10 @@
         state.inputHeaders[i].msg_hdr.msg_controllen = state.inputControls[i].size();
     }
     const int count = recvmmsg(m_descriptor, state.inputHeaders.data(), batchSize, 0, nullptr);
-    if (count <= 0)
+    if (count <= 0) {
+        readErrors();
         return {};
+    }
     const std::int64_t now = systemMicroseconds();
     for (std::size_t i = 0; i < static_cast<std::size_t>(count); ++i) {
         state.received[i] = { toEndpoint(state.inputPeers[i]),
@@ -192,7 +194,12 @@
 
 std::vector<base::endpoint> udp_socket::takeUnreachablePeers()
 {
-    std::vector<base::endpoint> peers;
+    readErrors();
+    return std::exchange(m_unreachablePeers, {});
+}
+
+void udp_socket::readErrors()
+{
     while (true) {
         sockaddr_in peer {};
         std::array<char, 256> control;
@@ -202,14 +209,14 @@
         header.msg_control = control.data();
         header.msg_controllen = control.size();
         if (recvmsg(m_descriptor, &header, MSG_ERRQUEUE) < 0)
-            return peers;
+            return;
         for (cmsghdr *part = CMSG_FIRSTHDR(&header); part != nullptr;
              part = CMSG_NXTHDR(&header, part)) {
             if (part->cmsg_level != IPPROTO_IP || part->cmsg_type != IP_RECVERR)
                 continue;
             const auto *error = reinterpret_cast<const sock_extended_err *>(CMSG_DATA(part));
-            if (error->ee_errno == ECONNREFUSED)
-                peers.push_back(toEndpoint(peer));
+            if (error->ee_errno == ECONNREFUSED && m_unreachablePeers.size() < maxUnreachablePeers)
+                m_unreachablePeers.push_back(toEndpoint(peer));
         }
     }
 }
--- a/packages/net/tests/udp_socket_test.cpp
+++ b/packages/net/tests/udp_socket_test.cpp
@@ -57,3 +57,23 @@
     CHECK_EQUAL(1u, unreachable.size());
     CHECK_TRUE(unreachable[0] == closed);
 }
+
+// An error that is not taken keeps the socket ready for ever, so that the event loop never waits.
+TEST(udp_socket, SocketIsNotReadyAfterAReceiveThatFindsOnlyErrors)
+{
+    base::endpoint closed;
+    {
+        const net::udp_socket temporary { { loopback, 0 } };
+        closed = temporary.local();
+    }
+    for (int i = 0; i < 3; ++i) {
+        first.send(closed, base::byte_vector { 1 });
+        first.flush();
+    }
+    waitForInput(first);
+    CHECK_EQUAL(0u, first.receive().size());
+
+    pollfd descriptor { first.descriptor(), POLLIN, 0 };
+    CHECK_EQUAL(0, poll(&descriptor, 1, 0));
+    CHECK_TRUE(first.takeUnreachablePeers().size() >= 1);
+}
