--- a/packages/entry/src/flow_entry_daemon.cpp
+++ b/packages/entry/src/flow_entry_daemon.cpp
@@ -19,11 +19,13 @@
 // The platform removes an instance from rotation after this number of failed readiness checks.
 constexpr unsigned failedChecksUntilRemoved = 2;
 
-std::vector<std::uint32_t> machinesOf(std::span<const core::endpoint> addresses)
+flow::entry_identity identityOf(const runtime::flow_settings &settings, std::uint64_t bootId)
 {
-    std::vector<std::uint32_t> result(addresses.size());
-    std::ranges::transform(addresses, result.begin(), &core::endpoint::address);
-    return result;
+    flow::entry_identity identity { bootId, settings.zone, {} };
+    identity.seeds.resize(settings.seeds.size());
+    std::ranges::transform(settings.seeds, identity.seeds.begin(), &core::endpoint::address);
+    identity.isSeed = std::erase(identity.seeds, settings.packets.address) > 0;
+    return identity;
 }
 
 } // namespace
@@ -53,7 +55,7 @@
       m_messages({ settings.packets.address, settings.peerPort }),
       m_output(m_packets, m_messages, m_messageCounters), m_log({}),
       m_random(daemon::systemRandomNumber()), m_policy(m_random),
-      m_balancer({ m_random.next(), settings.zone, machinesOf(settings.seeds) }, codec, m_documents,
+      m_balancer(identityOf(settings, m_random.next()), codec, m_documents,
                  m_policy, m_output, m_log),
       m_source(makeSource(settings.store, m_stopped)),
       m_admin(daemon::adminAddresses(settings), *this)
--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -33,6 +33,7 @@
     std::uint64_t bootId = 0; // random number of the process
     std::string zone;
     std::vector<std::uint32_t> seeds; // IPv4 addresses of entry instances that may have a view
+    bool isSeed = false;              // other instances ask this one for a view
 };
 
 // Totals since the start of the process.
--- a/packages/flow/src/read_schedule.cpp
+++ b/packages/flow/src/read_schedule.cpp
@@ -4,12 +4,14 @@
 
 namespace oriolehold::flow {
 
-read_schedule::read_schedule(std::uint64_t seed)
-    : m_offset(seed % static_cast<std::uint64_t>(maxOffset.count()))
+read_schedule::read_schedule(std::uint64_t randomNumber, bool asksSeeds)
+    : m_offset(randomNumber % static_cast<std::uint64_t>(maxOffset.count())), m_asksSeeds(asksSeeds)
 { }
 
 base::time_point read_schedule::next(base::time_point readAt, bool complete) const
 {
+    if (!complete && m_asksSeeds && m_lastReadBegunAt != base::time_point {})
+        return m_lastReadBegunAt + fallbackInterval + m_offset;
     if (!complete)
         return m_lastReadBegunAt + firstRetryInterval;
     return std::max(readAt + interval + m_offset, m_lastReadBegunAt + retryInterval);
--- a/packages/flow/tests/deployment_simulation.cpp
+++ b/packages/flow/tests/deployment_simulation.cpp
@@ -414,8 +414,9 @@
     item.reader = {};
     item.startedAt = m_now;
     item.balancer = std::make_unique<entry_balancer>(
-            entry_identity { m_random.next(), std::string(zoneNames[item.zone]), seeds }, m_codec,
-            m_documents, *item.policy, *item.output, *item.observer);
+            entry_identity { m_random.next(), std::string(zoneNames[item.zone]), seeds,
+                             std::ranges::find(seeds, item.machine) != seeds.end() },
+            m_codec, m_documents, *item.policy, *item.output, *item.observer);
     item.tick();
 }
 
