--- a/packages/entry/src/flow_entry_daemon.cpp
+++ b/packages/entry/src/flow_entry_daemon.cpp
@@ -28,6 +28,34 @@
     return identity;
 }
 
+// Result of a read, and why it failed.
+template<typename Value>
+struct read_outcome
+{
+    std::optional<Value> value;
+    std::optional<flow::read_failure> failure;
+};
+
+template<typename Value>
+read_outcome<Value> outcomeOf(const std::function<boost::leaf::result<Value>()> &read)
+{
+    read_outcome<Value> outcome;
+    boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<void> {
+                BOOST_LEAF_ASSIGN(outcome.value, read());
+                return {};
+            },
+            [&](flow::read_failure failure) { outcome.failure = failure; },
+            [&] { outcome.failure = flow::read_failure::malformed; });
+    return outcome;
+}
+
+// Whether another request would fail, too.
+bool isStoreFailure(std::optional<flow::read_failure> failure)
+{
+    return failure == flow::read_failure::unreachable || failure == flow::read_failure::refused;
+}
+
 } // namespace
 
 void flow_entry_daemon::socket_output::sendToAgent(std::uint32_t machine, core::byte_view packet)
@@ -55,8 +83,8 @@
       m_messages({ settings.packets.address, settings.peerPort }),
       m_output(m_packets, m_messages, m_messageCounters), m_log({}),
       m_random(daemon::systemRandomNumber()), m_policy(m_random),
-      m_balancer(identityOf(settings, m_random.next()), codec, m_documents,
-                 m_policy, m_output, m_log),
+      m_balancer(identityOf(settings, m_random.next()), codec, m_documents, m_policy, m_output,
+                 m_log),
       m_source(makeSource(settings.store, m_stopped)),
       m_admin(daemon::adminAddresses(settings), *this)
 { }
@@ -175,38 +203,6 @@
     }
 }
 
-namespace {
-
-// Result of a read, and why it failed.
-template<typename Value>
-struct read_outcome
-{
-    std::optional<Value> value;
-    std::optional<flow::read_failure> failure;
-};
-
-template<typename Value>
-read_outcome<Value> outcomeOf(const std::function<boost::leaf::result<Value>()> &read)
-{
-    read_outcome<Value> outcome;
-    boost::leaf::try_handle_all(
-            [&]() -> boost::leaf::result<void> {
-                BOOST_LEAF_ASSIGN(outcome.value, read());
-                return {};
-            },
-            [&](flow::read_failure failure) { outcome.failure = failure; },
-            [&] { outcome.failure = flow::read_failure::malformed; });
-    return outcome;
-}
-
-// Whether another request would fail, too.
-bool isStoreFailure(std::optional<flow::read_failure> failure)
-{
-    return failure == flow::read_failure::unreachable || failure == flow::read_failure::refused;
-}
-
-} // namespace
-
 bool flow_entry_daemon::readStore()
 {
     using flow::read_failure;
--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "oriolehold/flow/flow_observer.h"
+#include "oriolehold/flow/flow_search.h"
 #include "oriolehold/flow/packet.h"
 #include "oriolehold/flow/peer_message.h"
 #include "oriolehold/flow/placement_policy.h"
@@ -12,7 +13,6 @@
 #include <boost/unordered/unordered_flat_map.hpp>
 #include <boost/unordered/unordered_flat_set.hpp>
 
-#include <bitset>
 #include <deque>
 
 // Decides for an entry instance which upstream takes a new flow, which upstream holds an open flow,
@@ -96,9 +96,6 @@
     const entry_counters &counters() const { return m_counters; }
 
 private:
-    // Clients have at most 16 packets in flight.
-    static constexpr std::size_t maxKeptPackets = 16;
-
     struct owner
     {
         std::uint32_t machine = 0;
@@ -111,53 +108,6 @@
         bool mayBeAccepted = false;
         bool confirmed = false; // an agent claimed the flow
     };
-    struct candidate
-    {
-        std::uint32_t machine = 0;
-        base::time_point firstProbeAt {}; // epoch: not probed
-        base::time_point lastProbeAt {};
-        std::uint32_t round = 0;              // of the last probe; 0: not probed
-        std::bitset<maxKeptPackets> received; // packets of the search that were sent there
-        base::time_point awaitedSince {};     // a probe that counts in the window; epoch: none
-        bool relayed = false;                 // an agent probes it and has not returned the result
-        bool denied = false;
-    };
-    // A request to an agent that probes candidates on behalf of this instance.
-    struct relay_request
-    {
-        std::uint32_t id = 0;
-        std::uint32_t machine = 0; // of the agent
-        std::vector<std::uint32_t> candidates;
-    };
-    // A packet that waits for the end of a search.
-    struct kept_packet
-    {
-        base::byte_vector bytes;
-        packet_head head;
-    };
-    // The first packet of the client, and each copy of one, begins a round of probes to all
-    // candidates that have not denied. Its packets are kept: the owner may need all of them before
-    // it answers.
-    struct search
-    {
-        base::time_point startedAt {};
-        base::time_point lastPacketAt {};
-        base::time_point roundBegunAt {};
-        std::uint32_t round = 0;
-        std::vector<kept_packet> packets; // different ones, oldest first
-        std::size_t current = 0;          // position of the packet that the round probes with
-        bool roundComplete = true;
-        bool queued = false; // in m_probeQueue
-        std::size_t awaitedProbes = 0;
-        std::vector<relay_request> relays; // without a result so far
-        unsigned relayFailures = 0;        // results that did not arrive in time
-        bool packetsDue = false;           // candidates that stay silent will get the other packets
-        std::vector<candidate> candidates;
-        // Read time of the list and version of the routes that the candidates were taken from.
-        base::time_point listReadAt {};
-        std::uint64_t configurationVersion = 0;
-        std::uint32_t probes = 0; // sent
-    };
 
     void routesChanged(const flow_configuration &configuration) override;
     void upstreamsUpdated(const upstream_list &list, base::time_point readAt,
@@ -186,37 +136,32 @@
     // Starts a search, or a new round of it, with a packet of the client.
     void searchOwner(const flow_key &key, const flow_route &route, const packet_head &head,
                      base::byte_view packet, std::uint32_t excluded, base::time_point now);
-    // Keeps a packet of the client and returns its position. isCopy is set if it was kept before.
-    std::size_t keepPacket(search &state, const packet_head &head, base::byte_view packet,
-                           bool &isCopy);
     // Sends the probes of the current round that are due, as far as the window has room.
-    void sendProbes(const flow_key &key, const flow_route &route, search &state,
+    void sendProbes(const flow_key &key, const flow_route &route, flow_search &state,
                     base::time_point now);
     // Continues the searches that wait for room in the window, the oldest first.
     void continueSearches(base::time_point now);
     // Requests the probes of candidates that are due from other agents, and removes these from due.
-    void relayProbes(const flow_key &key, const flow_route &route, search &state,
-                     std::vector<candidate *> &due, base::time_point now);
+    void relayProbes(const flow_key &key, const flow_route &route, flow_search &state,
+                     std::vector<search_candidate *> &due, base::time_point now);
     void receiveResult(const probe_result &result, base::time_point now);
     // Ends requests without a result; the candidates are probed from here.
     void expireRelays(base::time_point now);
-    // Ends the wait for the answer of a candidate; returns whether there was one.
-    static bool endWait(search &state, candidate &item);
     // Counts probes that were not answered in time.
     void expireProbes(base::time_point now);
     // Takes the unanswered probes of a search that ends out of the window.
-    void withdrawProbes(search &state);
+    void withdrawProbes(flow_search &state);
     // Sends the other packets to candidates that have not denied the one that they got: those of a
     // restarted agent's upstream may be its.
-    void sendKeptPackets(const flow_key &key, const flow_route &route, search &state,
+    void sendKeptPackets(const flow_key &key, const flow_route &route, flow_search &state,
                          base::time_point now);
     // Sends one of the kept packets as a probe.
-    void probe(const flow_key &key, const flow_route &route, search &state, candidate &item,
-               std::size_t packet, base::time_point now);
+    void probe(const flow_key &key, const flow_route &route, flow_search &state,
+               search_candidate &item, std::size_t packet, base::time_point now);
     // Whether the candidate may still hold the flow, and serves the route.
-    bool isPossible(const flow_route &route, const candidate &item) const;
+    bool isPossible(const flow_route &route, const search_candidate &item) const;
     // Adds the upstreams of the current view that are no candidates yet; excluded counts as denied.
-    void addCandidates(search &state, const flow_route &route, std::uint32_t excluded,
+    void addCandidates(flow_search &state, const flow_route &route, std::uint32_t excluded,
                        base::time_point now);
     void receiveDenial(const flow_denial &denial, std::uint32_t machine, base::time_point now);
     void receiveClaim(const flow_key &key, std::uint32_t machine, base::time_point now);
@@ -230,9 +175,9 @@
     // Whether the upstream on the machine may hold a flow of the route.
     bool mayHoldFlow(const flow_route &route, std::uint32_t machine) const;
     // Whether no candidate holds the flow, by the answers so far and by the current list.
-    bool allDeny(const flow_route &route, const search &state) const;
+    bool allDeny(const flow_route &route, const flow_search &state) const;
     // Describes the state of a search in a decision.
-    flow_decision describe(decision_kind kind, const flow_key &key, const search &state,
+    flow_decision describe(decision_kind kind, const flow_key &key, const flow_search &state,
                            base::time_point now) const;
     void expireOwners(base::time_point now);
     // Sends the next hellos of the current round, or begins a round.
@@ -255,7 +200,7 @@
     boost::unordered_flat_set<std::string> m_services; // of the routes
     upstream_directory m_directory;
     boost::unordered_flat_map<flow_key, owner, flow_key_hash> m_owners;
-    boost::unordered_flat_map<flow_key, search, flow_key_hash> m_searches;
+    boost::unordered_flat_map<flow_key, flow_search, flow_key_hash> m_searches;
     probe_window m_probeWindow;
     struct awaited_probe
     {
--- a/packages/flow/include/oriolehold/flow/read_schedule.h
+++ b/packages/flow/include/oriolehold/flow/read_schedule.h
@@ -18,8 +18,8 @@
     // Waits after a failed read, with a view and without one.
     static constexpr std::chrono::milliseconds retryInterval { 1000 };
     static constexpr std::chrono::milliseconds firstRetryInterval { 400 };
-    // The latter for an instance that is no seed, plus its offset. It gets the view from a seed, and
-    // reads in case none has it: hundreds of instances start together.
+    // The latter for an instance that is no seed, plus its offset. It gets the view from a seed,
+    // and reads in case none has it: hundreds of instances start together.
     static constexpr std::chrono::milliseconds fallbackInterval { 1500 };
     // Wait between the arrival of a list and a read that a search needs. A list that another
     // instance read counts as older by view_exchange::transferTime, so that a round of this length
@@ -28,8 +28,8 @@
     // The offset divided by this is added, so that one of many waiting instances reads for all.
     static constexpr int urgentOffsetDivisor = 6;
 
-    // The offset is derived from randomNumber. asksSeeds is set if other instances are asked for the
-    // view while there is none.
+    // The offset is derived from randomNumber. asksSeeds is set if other instances are asked for
+    // the view while there is none.
     read_schedule(std::uint64_t randomNumber, bool asksSeeds);
 
     // Whether a read is due. readAt is the time of the read that the view comes from; complete says
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -43,7 +43,8 @@
                                const document_codec &documents, placement_policy &policy,
                                entry_output &output, flow_observer &observer)
     : m_identity(std::move(identity)), m_codec(codec), m_policy(policy), m_output(output),
-      m_observer(observer), m_view(documents, output, *this), m_schedule(m_identity.bootId, !m_identity.isSeed && !m_identity.seeds.empty())
+      m_observer(observer), m_view(documents, output, *this),
+      m_schedule(m_identity.bootId, !m_identity.isSeed && !m_identity.seeds.empty())
 { }
 
 const flow_route *entry_balancer::routeOf(const base::endpoint &service) const
