--- a/packages/flow/include/oriolehold/flow/upstream_list_reader.h
+++ b/packages/flow/include/oriolehold/flow/upstream_list_reader.h
@@ -68,7 +68,7 @@
     // While the list is followed by its changes it is also read in full, because a watch of a store
     // that lost its history may miss some: at this interval, and at most for this share of time.
     static constexpr std::chrono::seconds minFullReadInterval { 10 };
-    static constexpr int fullReadIntervalFactor = 20; // times the length of the last full read
+    static constexpr int fullReadIntervalFactor = 500; // times the length of the last full read
     // Rejected entries that are reported by one call; the others follow with the next ones.
     static constexpr std::size_t maxReportsPerRead = 20;
 
