--- a/packages/flow/src/probe_dispatch.cpp
+++ b/packages/flow/src/probe_dispatch.cpp
@@ -128,8 +128,9 @@
     const auto isOfService = [&](const search_candidate *item) {
         return serviceDigest(m_directory.find(item->machine)->record.service) == digest;
     };
-    const auto others = std::ranges::stable_partition(due, isOfService);
-    const std::span<search_candidate *> group(due.begin(), others.begin());
+    // Clang 14 does not compile the call in std::ranges.
+    const auto others = std::stable_partition(due.begin(), due.end(), isOfService);
+    const std::span<search_candidate *> group(due.begin(), others);
     std::vector<std::uint32_t> helpers;
     for (const search_candidate *item : group) {
         if (upstream_directory::isHeard(*m_directory.find(item->machine), now))
--- a/packages/flow/src/upstream_list_reader.cpp
+++ b/packages/flow/src/upstream_list_reader.cpp
@@ -115,9 +115,8 @@
             entries.erase(change.id);
             continue;
         }
+        // Pages and changes come in the order of their reads, so the later one counts.
         known_entry &known = entries[change.id];
-        if (change.revision != 0 && change.revision < known.published.revision)
-            continue; // read before the known change
         known = { std::move(change), now };
     }
 }
--- a/packages/flow/tests/upstream_list_reader_test.cpp
+++ b/packages/flow/tests/upstream_list_reader_test.cpp
@@ -312,3 +312,17 @@
     CHECK_EQUAL(count, rejections.ids.size());
     CHECK_EQUAL(count, reader.rejectedEntries());
 }
+
+// After a restore an entry may have a revision above the store's.
+TEST(upstream_list_reader, ChangeWithALowerRevisionThanItsEntryIsApplied)
+{
+    source.put("a");
+    putLargeRejectedEntries(2);
+    read();
+    source.entries.at("a").revision = 1000;
+    source.revision.era = 2;
+    STRCMP_EQUAL("a", read().c_str());
+    source.put("a", 200, false);
+
+    STRCMP_EQUAL("", read().c_str());
+}
