--- a/packages/flow/tests/deployment_troubles.cpp
+++ b/packages/flow/tests/deployment_troubles.cpp
@@ -393,11 +393,8 @@
     if (m_writerRandom.below(2) == 0) // no machine has this address
         record.address.address = firstUnusedMachine
                 + static_cast<std::uint32_t>(m_writerRandom.below(unusedMachines));
-    // Which of two services at one start of an upstream is its own cannot be told from the list.
-    if (m_writerRandom.below(2) == 0) {
+    if (m_writerRandom.below(2) == 0)
         record.service = services[m_writerRandom.below(services.size())];
-        record.incarnation = 0;
-    }
     if (m_writerRandom.below(2) == 0)
         record.slots = 1 + static_cast<std::uint32_t>(m_writerRandom.below(mostForeignSlots));
     if (m_writerRandom.below(4) == 0)
