Show a list of backends that is not followed after large entries

Cause: a response to a watch above 4 MB is given up, and the same watch is repeated. Change: a script.

--- /dev/null
+++ b/review/3/case.py
@@ -0,0 +1,58 @@
+"""Another writer leaves large entries that can't be read; the list of backends is not followed any
+more, and a draining backend gets new flows."""
+
+import os
+import sys
+from pathlib import Path
+
+FOLDER = Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent / "standins"))
+
+from deployment import DRAIN_S, STABLE_S, TROUBLE, play  # noqa: E402
+from ends import ClientFlow  # noqa: E402
+from store import VALUE_BYTES  # noqa: E402
+
+LARGE_ENTRIES = 4
+SERVES_ON_S = 9.0  # after the acknowledgement of the drain, before the backend leaves
+# Limits the values in one response to a watch; by default there is no limit.
+WATCH_BYTES = int(os.environ["WATCH_BYTES"]) if "WATCH_BYTES" in os.environ else None
+
+
+def case(deployment):
+    host = deployment.hosts[0]
+    route = deployment.routes["orders"]
+    flows = []
+
+    def visit():
+        flow = ClientFlow(host, route, host.new_port())
+        flow.request(f"q{len(flows)}", close=True)
+        flows.append(flow)
+        host.loop.after(0.05, visit)
+
+    visit()
+    deployment.run(STABLE_S)
+    if TROUBLE:
+        for i in range(LARGE_ENTRIES):
+            deployment.store.put(f"servers/other-writer-{i + 1}", os.urandom(VALUE_BYTES))
+        deployment.record.note(f"{LARGE_ENTRIES} entries of another writer, "
+                               f"{VALUE_BYTES} bytes each")
+    deployment.run(0.5)
+    leaving = deployment.backends[0]
+    acknowledged = deployment.drain(leaving)
+    deployment.run(SERVES_ON_S)
+    late = [at for at, _ in leaving.openings if at > acknowledged + DRAIN_S]
+    total = sum(len(backend.openings) for backend in deployment.backends)
+    deployment.leave(leaving)
+    deployment.run(1.0)
+    reads = [item for item in deployment.store.reads if "kv-watch?prefix=servers" in item[1]]
+    lines = [f"{len(flows)} flows, {total} opening packets taken",
+             f"{len(reads)} watches of the list; the largest response had "
+             f"{max((item[3] for item in reads), default=0)} bytes",
+             f"{len(late)} opening packets reached {leaving.ident} later than drain_ms after the "
+             "store had acknowledged that it drains"
+             + (f", the last one {late[-1] - acknowledged:.1f} s after" if late else "")]
+    return lines, ["DRAIN"] if late else []
+
+
+play(FOLDER, case, entries=2, services={"orders": 3}, hosts=1, watch_bytes=WATCH_BYTES,
+     items={"servers/other-writer-0": os.urandom(100_000)} if TROUBLE else None)
