Play the large entries with limited responses to watches

Change: the stand-in limits them as those of a page by default; more entries, written between two full reads.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,21 +1,25 @@
-"""Another writer leaves large entries that can't be read; the list of backends is not followed any
-more, and a draining backend gets new flows."""
+"""Another writer leaves large entries that can't be read; the entry instances follow the list of
+backends late, and a draining backend gets new flows."""
 
 import os
 import sys
+import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins"))
 
-from deployment import DRAIN_S, STABLE_S, TROUBLE, play  # noqa: E402
+from deployment import DRAIN_S, TROUBLE, play  # noqa: E402
 from ends import ClientFlow  # noqa: E402
 from store import VALUE_BYTES  # noqa: E402
 
-LARGE_ENTRIES = 4
+LARGE_ENTRIES = 8
 SERVES_ON_S = 9.0  # after the acknowledgement of the drain, before the backend leaves
-# Limits the values in one response to a watch; by default there is no limit.
-WATCH_BYTES = int(os.environ["WATCH_BYTES"]) if "WATCH_BYTES" in os.environ else None
+# From the start of the entry instances to the large entries. The instances read the whole list at
+# their start, again 10 s later at the earliest, and follow its changes in between.
+WRITTEN_AFTER_S = 13.0
+# In one response to a watch, as in a page of items; at least one event. 0: no limit.
+WATCH_BYTES = int(os.environ.get("WATCH_BYTES", "1000000"))
 
 
 def case(deployment):
@@ -30,7 +34,8 @@
         host.loop.after(0.05, visit)
 
     visit()
-    deployment.run(STABLE_S)
+    started = max(program.started_at for program in deployment.entries.values())
+    deployment.run(started + WRITTEN_AFTER_S - time.monotonic())
     if TROUBLE:
         for i in range(LARGE_ENTRIES):
             deployment.store.put(f"servers/other-writer-{i + 1}", os.urandom(VALUE_BYTES))
@@ -54,5 +59,5 @@
     return lines, ["DRAIN"] if late else []
 
 
-play(FOLDER, case, entries=2, services={"orders": 3}, hosts=1, watch_bytes=WATCH_BYTES,
+play(FOLDER, case, entries=2, services={"orders": 3}, hosts=1, watch_bytes=WATCH_BYTES or None,
      items={"servers/other-writer-0": os.urandom(100_000)} if TROUBLE else None)
