--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -87,6 +87,11 @@
         if self.running():
             self._process.send_signal(signal.SIGTERM)
 
+    def kill(self):
+        if self.running():
+            self._process.kill()
+            self._process.wait()
+
     def wait(self, seconds):
         try:
             self._process.wait(seconds)
@@ -199,6 +204,18 @@
         self.record.note("entry instance added", self.entries[address].name)
         return address
 
+    def kill_all(self, down_s):
+        """Kills all processes of the system at once, and starts them again. Returns when."""
+        running = [program for program in self._programs if program.running()]
+        for program in running:
+            program.kill()
+        self.record.note("all processes are killed")
+        self.run(down_s)
+        for program in running:
+            program.start()
+        self.record.note("all processes are started again")
+        return time.monotonic()
+
     def drain(self, backend):
         """The backend reports that it drains. Returns the time of the acknowledgement."""
         backend.draining = True
