Show open flows reset by an instance that joins after a change of services

Cause: an entry instance that starts after a version with another service for a route does not know the former service, neither greets nor searches its agents, and resets the flows that they hold.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,5 +1,5 @@
-"""An entry of another writer that lacks a field names the address of a draining backend, which
-then gets new flows again."""
+"""An entry of another writer, with a later start time, hides a live backend; its open flows are
+reset when an entry instance is added."""
 
 import sys
 import time
@@ -8,44 +8,57 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins"))
 
-from deployment import DRAIN_S, TROUBLE, play  # noqa: E402
+from deployment import STABLE_S, TROUBLE, play  # noqa: E402
 from ends import ClientFlow  # noqa: E402
 
-SERVES_ON_S = 9.0  # after the acknowledgement of the drain, before the backend leaves
+FLOWS = 24
+INTERVAL_S = 6.0  # between the requests of a flow; idle_timeout_ms is 15 s
+OBSERVED_S = 18.0  # after the addition
 
 
 def case(deployment):
     host = deployment.hosts[0]
     route = deployment.routes["orders"]
-    flows = []
+    flows = [ClientFlow(host, route, host.new_port()) for _ in range(FLOWS)]
+    counter = iter(range(1_000_000))
 
-    def visit():
-        flow = ClientFlow(host, route, host.new_port())
-        flow.request(f"q{len(flows)}", close=True)
-        flows.append(flow)
-        host.loop.after(0.05, visit)
+    def ask(flow):
+        if flow.state == "open" and not flow.current:
+            flow.request(f"q{next(counter)}")
+        if flow.state == "open":
+            host.loop.after(INTERVAL_S, lambda: ask(flow))
+
+    for i, flow in enumerate(flows):
+        host.loop.after(0.5 + INTERVAL_S * i / FLOWS, lambda item=flow: ask(item))
+    deployment.run(8.0)
+    holders = {key: backend for backend in deployment.backends for _, key in backend.opened}
+    victim = deployment.backends[0]
 
-    visit()
-    deployment.run(3.0)
-    leaving = deployment.backends[0]
     if TROUBLE:
-        # "fields missing": there is no version.
-        entry = {name: value for name, value in leaving.entry.items() if name != "version"}
-        deployment.store.put("servers/other-writer-1",
-                             entry | {"sequence": 1, "born": int(time.time() * 1000)})
-        deployment.record.note("entry of another writer", leaving.ident)
-        deployment.run(2.0)
-    acknowledged = deployment.drain(leaving)
-    deployment.run(SERVES_ON_S)
-    late = [at for at, _ in leaving.openings if at > acknowledged + DRAIN_S]
-    total = sum(len(backend.openings) for backend in deployment.backends)
-    deployment.leave(leaving)
-    deployment.run(1.0)
-    lines = [f"{len(flows)} flows, {total} opening packets taken",
-             f"{len(late)} opening packets reached {leaving.ident} later than drain_ms after the "
-             "store had acknowledged that it drains"
-             + (f", the last one {late[-1] - acknowledged:.1f} s after" if late else "")]
-    return lines, ["DRAIN"] if late else []
-
-
-play(FOLDER, case, entries=2, services={"orders": 3}, hosts=1)
+        # "a state or service that isn't named here": no configuration names this service.
+        deployment.store.put("servers/other-writer-1", victim.entry | {
+            "service": "inventory-export", "sequence": 1, "born": int(time.time() * 1000)})
+        deployment.record.note("entry of another writer", victim.ident)
+    deployment.run(STABLE_S + 1)
+
+    # Planned work: a machine is added (add_nodes).
+    added = deployment.add_entry()
+    added_at = time.monotonic()
+    deployment.run(OBSERVED_S)
+
+    opened = [flow for flow in flows if flow.key in holders]
+    reset = [flow for flow in opened if flow.resets]
+    in_touch = [flow for flow in reset
+                if flow.resets[0][1] != added or flow.resets[0][0] - added_at > STABLE_S]
+    at_victim = [flow for flow in opened if holders[flow.key] is victim]
+    answered = sum(len(flow.answers) for flow in flows)
+    lines = [f"{len(opened)} flows opened, {len(at_victim)} of them at {victim.ident}",
+             f"{answered} requests answered, the last ones by all backends that live",
+             f"{len(reset)} open flows got a reset that their backend did not send, "
+             f"{sum(holders[flow.key] is victim for flow in reset)} of them at {victim.ident}, "
+             f"{len(in_touch)} of them later than stable_window_ms after the start of the "
+             "entry instance that sent it"]
+    return lines, ["FLOW"] if reset else []
+
+
+play(FOLDER, case, entries=2, spares=1, services={"orders": 3}, hosts=1)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,56 +1,60 @@
-"""Copies of the entries of all backends, each without one field, say that the backends drain. After
-all processes were killed and started again no new flow is served."""
+"""A client opens a new flow from the port of a closed one; the entry instance still sends it to the
+backend of the closed flow, which drains."""
 
 import sys
-import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins"))
 
-from deployment import TROUBLE, play  # noqa: E402
+from deployment import DRAIN_S, TROUBLE, play  # noqa: E402
 from ends import ClientFlow  # noqa: E402
 
-DOWN_S = 1.0
-RECOVERY_S = 12.0  # recovery_s
-OBSERVED_S = 10.0
-LAST_ATTEMPT_S = 2.0  # time for the answers to the last requests
+PORTS = 24
+INTERVAL_S = 4.0  # between the flows of a port
+SERVES_ON_S = 9.0  # after the acknowledgement of the drain, before the backend leaves
 
 
 def case(deployment):
     host = deployment.hosts[0]
     route = deployment.routes["orders"]
-    flows = []
-
-    def visit():
+    counter = iter(range(1_000_000))
+    latest = {}
+
+    def visit(port):
+        former = latest.get(port)
+        # The port is free again: the backend has closed the flow first, and the client's last
+        # packet is acknowledged.
+        if former is None or former.state == "closed":
+            latest[port] = ClientFlow(host, route, port)
+            latest[port].request(f"q{next(counter)}", close=True)
+        host.loop.after(INTERVAL_S, lambda: visit(port))
+
+    def visit_from_new_port():
         flow = ClientFlow(host, route, host.new_port())
-        flow.request(f"q{len(flows)}", close=True)
-        flows.append(flow)
-        host.loop.after(0.05, visit)
-
-    def served(begin, end):
-        """The share of the requests sent in this time that were answered, and their number."""
-        sent = [flow for flow in flows if begin <= flow.begun_at < end]
-        return sum(bool(flow.answers) for flow in sent) / len(sent), len(sent)
-
-    visit()
-    begun = time.monotonic()
-    deployment.run(8.0)
+        flow.request(f"n{next(counter)}", close=True)
+        host.loop.after(0.1, visit_from_new_port)
+
+    ports = [host.new_port() for _ in range(PORTS)]
+    for i, port in enumerate(ports):
+        host.loop.after(INTERVAL_S * i / PORTS, lambda item=port: visit(item))
+    visit_from_new_port()
+    deployment.run(6.0)
+    leaving = deployment.backends[0]
+    acknowledged = deployment.drain(leaving) if TROUBLE else None
+    deployment.run(SERVES_ON_S)
+    late = [] if acknowledged is None else [
+        (at, key) for at, key in leaving.openings if at > acknowledged + DRAIN_S]
+    reused = [item for item in late if item[1][1] in ports]
     if TROUBLE:
-        for i, backend in enumerate(deployment.backends):
-            # "fields missing": there is no version.
-            entry = {name: value for name, value in backend.entry.items() if name != "version"}
-            deployment.store.put(f"servers/other-writer-{i}", entry | {"state": "draining"})
-            deployment.record.note("entry of another writer", backend.ident)
-    killed = time.monotonic()
-    back = deployment.kill_all(DOWN_S)
-    deployment.run(RECOVERY_S + OBSERVED_S + LAST_ATTEMPT_S)
-    before, count_before = served(begun, killed)
-    after, count_after = served(back + RECOVERY_S, back + RECOVERY_S + OBSERVED_S)
-    lines = [f"{before:.0%} of {count_before} requests were served before the final fault",
-             f"{after:.0%} of {count_after} requests were served that were sent later than "
-             "recovery_s after the processes were back"]
-    return lines, ["RECOVER"] if before >= 0.25 > after else []
+        deployment.leave(leaving)
+    deployment.run(1.0)
+    runs = sum(len(backend.runs) for backend in deployment.backends)
+    lines = [f"{runs} requests run",
+             f"{len(late)} opening packets reached {leaving.ident} later than drain_ms after the "
+             f"store had acknowledged that it drains, {len(reused)} of them from a port with an "
+             "earlier flow"]
+    return lines, ["DRAIN"] if late else []
 
 
 play(FOLDER, case, entries=2, services={"orders": 3}, hosts=1)
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -124,9 +124,11 @@
 
 class Deployment:
     """entries: number of entry instances, and spares of those that are added later. services:
-    number of backends by service name. items: what the store holds at the start besides."""
+    number of backends by service name. items: what the store holds at the start besides. targets:
+    see put_configuration(); by default there is one route for each service."""
 
-    def __init__(self, folder, entries, services, spares=0, hosts=1, watch_bytes=None, items=None):
+    def __init__(self, folder, entries, services, spares=0, hosts=1, watch_bytes=None, items=None,
+                 targets=None):
         self.record = Record(folder / "record.txt")
         self.loop = Loop()
         self._files = Path(tempfile.mkdtemp(prefix="oriolehold-review-"))
@@ -142,11 +144,12 @@
         ports = self._ports
         self.store_address = (f"127.{self._net}.0.1", ports["store"])
         self.store = Store(self.store_address, watch_bytes)
+        self.services = list(services)
         self.routes = {}
         self.config_version = 7
-        for i, service in enumerate(services):
-            self.routes[service] = (f"127.{self._net}.9.{i + 1}", 443)
-        self.put_configuration()
+        for i, name in enumerate(targets or services):
+            self.routes[name] = (f"127.{self._net}.9.{i + 1}", 443)
+        self.put_configuration(targets)
         for key, value in (items or {}).items():
             self.store.put(key, value)
             self.record.note("item of another writer, in bytes", key, len(value))
@@ -183,14 +186,16 @@
                                          ports["datagram"]))
         self._wait_until_ready()
 
-    def put_configuration(self):
+    def put_configuration(self, targets=None):
+        """Writes the next version. targets: fields that say where a route's new flows go, by the
+        name of the route; by default its service. Returns the time of the acknowledgement."""
         self.config_version += 3
-        routes = [{"name": f"r-{service}", "host": host, "prefix": f"/{port}/",
+        routes = [{"name": f"r-{name}", "host": host, "prefix": f"/{port}/",
                    "type": "idempotent", "timeout_ms": 2500, "target_latency_ms": 150,
-                   "priority": 2, "service": service, "max_attempts": 2}
-                  for service, (host, port) in self.routes.items()]
+                   "priority": 2, "max_attempts": 2, **(targets or {}).get(name, {"service": name})}
+                  for name, (host, port) in self.routes.items()]
         names = [{"name": service, "health_path": "/health", "max_connections": 2000,
-                  "protocol": "h1", "tls": False} for service in self.routes]
+                  "protocol": "h1", "tls": False} for service in self.services]
         limits = {"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000,
                   "idle_timeout_ms": IDLE_TIMEOUT_MS}
         return self.store.put("op/config", {"version": self.config_version, "routes": routes,
