--- a/review/1/case.py
+++ b/review/1/case.py
@@ -51,6 +51,7 @@
     added_at = time.monotonic()
     deployment.run(OBSERVED_S)
 
+    deployment.require(len(holders) > len(all_flows) / 2, "few flows opened")
     lines, broken = [], []
     for name, items in flows.items():
         opened = [flow for flow in items if flow.key in holders]
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,7 @@
 """An entry of another writer, with a later start time, hides a live backend; its open flows are
 reset when an entry instance is added."""
 
+import os
 import sys
 import time
 from pathlib import Path
@@ -11,11 +12,27 @@
 from deployment import STABLE_S, TROUBLE, play  # noqa: E402
 from ends import ClientFlow  # noqa: E402
 
-FLOWS = 24
+FLOWS = 48
 INTERVAL_S = 6.0  # between the requests of a flow; idle_timeout_ms is 15 s
+RESTART_DELAY_S = 0.5
 OBSERVED_S = 18.0  # after the addition
 
 
+# With COPY=1 the entry is a copy of the backend's own, with the same start time, for another service
+# that is routed, and lacks a field, and the backend's agent is restarted before the instance is added:
+# entry 6 of KNOWN-RED.txt.
+COPY = os.environ.get("COPY") == "1"
+KEY = "a-other-writer" if COPY else "other-writer"
+
+
+def foreign_entry(entry):
+    if COPY:
+        copy = {name: value for name, value in entry.items() if name != "version"}
+        return copy | {"service": "catalog"}
+    # "a state or service that isn't named here": no configuration names this service.
+    return entry | {"service": "inventory-export", "sequence": 1, "born": int(time.time() * 1000)}
+
+
 def case(deployment):
     host = deployment.hosts[0]
     route = deployment.routes["orders"]
@@ -35,17 +52,19 @@
     victim = deployment.backends[0]
 
     if TROUBLE:
-        # "a state or service that isn't named here": no configuration names this service.
-        deployment.store.put("servers/other-writer-1", victim.entry | {
-            "service": "inventory-export", "sequence": 1, "born": int(time.time() * 1000)})
+        deployment.store.put("servers/" + KEY, foreign_entry(victim.entry))
         deployment.record.note("entry of another writer", victim.ident)
     deployment.run(STABLE_S + 1)
 
+    if COPY:
+        # So that the agent claims no flows that speak later.
+        deployment.restart(deployment.agents[victim.ident], RESTART_DELAY_S)
     # Planned work: a machine is added (add_nodes).
     added = deployment.add_entry()
     added_at = time.monotonic()
     deployment.run(OBSERVED_S)
 
+    deployment.require(len(holders) > FLOWS / 2, "few flows opened")
     opened = [flow for flow in flows if flow.key in holders]
     reset = [flow for flow in opened if flow.resets]
     in_touch = [flow for flow in reset
@@ -61,4 +80,4 @@
     return lines, ["FLOW"] if reset else []
 
 
-play(FOLDER, case, entries=2, spares=1, services={"orders": 3}, hosts=1)
+play(FOLDER, case, entries=2, spares=1, services={"orders": 3, "catalog": 1}, hosts=1)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -39,6 +39,7 @@
     deployment.run(SERVES_ON_S)
     late = [at for at, _ in leaving.openings if at > acknowledged + DRAIN_S]
     total = sum(len(backend.openings) for backend in deployment.backends)
+    deployment.require(total > len(flows) / 2, "few flows opened")
     deployment.leave(leaving)
     deployment.run(1.0)
     lines = [f"{len(flows)} flows, {total} opening packets taken",
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -50,6 +50,7 @@
         deployment.leave(leaving)
     deployment.run(1.0)
     runs = sum(len(backend.runs) for backend in deployment.backends)
+    deployment.require(runs > PORTS, "few requests run")
     lines = [f"{runs} requests run",
              f"{len(late)} opening packets reached {leaving.ident} later than drain_ms after the "
              f"store had acknowledged that it drains, {len(reused)} of them from a port with an "
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -12,6 +12,7 @@
 import tempfile
 import threading
 import time
+import traceback
 from pathlib import Path
 
 from ends import Backend, ClientHost, Loop, Router, text
@@ -209,6 +210,18 @@
         self.record.note("entry instance added", self.entries[address].name)
         return address
 
+    def restart(self, program, down_s):
+        """Planned work: the program gets SIGTERM and is started again after its end (roll_term)."""
+        program.terminate()
+        self.record.note("SIGTERM", program.name)
+        end = time.monotonic() + GRACE_S
+        while program.running() and time.monotonic() < end:
+            self.run(0.02)
+        program.wait(0.1)
+        self.run(down_s)
+        program.start()
+        self.record.note("started again", program.name)
+
     def kill_all(self, down_s):
         """Kills all processes of the system at once, and starts them again. Returns when."""
         running = [program for program in self._programs if program.running()]
@@ -234,6 +247,11 @@
         self.record.note("backend leaves", backend.ident)
         backend.close()
 
+    @staticmethod
+    def require(condition, what):
+        if not condition:
+            raise CannotRun(what)
+
     def run(self, seconds):
         self.loop.run_until(time.monotonic() + seconds)
 
@@ -325,6 +343,8 @@
         status = 1 if broken else 0
     except CannotRun as reason:
         print(f"the case could not run: {reason}", file=sys.stderr)
+    except Exception:  # an error of the case itself must not look like a broken rule
+        traceback.print_exc()
     finally:
         if deployment is not None and hasattr(deployment, "_files"):
             deployment.close()
