--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -20,6 +20,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 DRAIN_S = 3.0  # drain_ms
+CONFIG_S = 3.0  # config_apply_ms
 STABLE_S = 4.0  # stable_window_ms
 GRACE_S = 6.0  # grace_s
 IDLE_TIMEOUT_MS = 15_000  # idle_timeout_ms
@@ -189,12 +190,14 @@
 
     def put_configuration(self, targets=None):
         """Writes the next version. targets: fields that say where a route's new flows go, by the
-        name of the route; by default its service. Returns the time of the acknowledgement."""
+        name of the route; by default its service; None: the version does not have the route. Returns
+        the time of the acknowledgement."""
         self.config_version += 3
         routes = [{"name": f"r-{name}", "host": host, "prefix": f"/{port}/",
                    "type": "idempotent", "timeout_ms": 2500, "target_latency_ms": 150,
                    "priority": 2, "max_attempts": 2, **(targets or {}).get(name, {"service": name})}
-                  for name, (host, port) in self.routes.items()]
+                  for name, (host, port) in self.routes.items()
+                  if (targets or {}).get(name, {}) is not None]
         names = [{"name": service, "health_path": "/health", "max_connections": 2000,
                   "protocol": "h1", "tls": False} for service in self.services]
         limits = {"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000,
