Find open flows of services that a route had in earlier versions

Cause: only the processes that saw the former version know its services. The new instance sent no hellos to agents of services without a route, so they claimed nothing, and its searches left their upstreams out; all others denied, and the client was reset.

Change: the configuration keeps the services that it declares; their agents get hellos. A search that the route's services deny, or that they have not answered after 200 ms, is extended to the upstreams of all declared services and to all agents that report, and a reset needs their denials, too. Services with weight 0 stay in their route; a route without any weight refuses new flows at once and keeps its open ones. A packet that an agent returns because of its service is no denial. oriolehold_flow_searches_widened_total counts the extended searches.

Open: a version that takes the former service out of its list of services as well.

--- a/packages/entry/src/flow_entry_daemon.cpp
+++ b/packages/entry/src/flow_entry_daemon.cpp
@@ -267,6 +267,7 @@
     counter("flow_placed_total", m_publishedCounters.placed);
     counter("flow_replaced_total", m_publishedCounters.replaced);
     counter("flow_searches_total", m_publishedCounters.searches);
+    counter("flow_searches_widened_total", m_publishedCounters.widened);
     counter("flow_probes_total", m_publishedCounters.probes);
     counter("flow_search_relays_total", m_publishedCounters.relays);
     counter("flow_found_total", m_publishedCounters.found);
--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -45,6 +45,7 @@
     std::uint64_t placed = 0;    // opening packets given to their first upstream
     std::uint64_t replaced = 0;  // opening packets given to another upstream after a refusal
     std::uint64_t searches = 0;  // started
+    std::uint64_t widened = 0;   // searches that were extended to all services
     std::uint64_t probes = 0;    // sent
     std::uint64_t relays = 0;    // requests to agents that probe on behalf of this instance
     std::uint64_t found = 0;     // searches that a claim ended
@@ -112,10 +113,10 @@
     void routesChanged(const flow_configuration &configuration) override;
     void upstreamsUpdated(const upstream_list &list, base::time_point readAt,
                           base::time_point now) override;
-    // Whether a route has the service; true for all services before the first configuration.
-    bool isRouted(const upstream_record &record) const;
+    // Whether the configuration has the service; true for all services before the first one.
+    bool isKnownService(const upstream_record &record) const;
     // Whether the upstream's agent needs hellos. Entries of other writers may have a service that
-    // no route has, and name machines without an agent.
+    // the configuration does not have, and name machines without an agent.
     bool needsHello(const known_upstream &upstream, base::time_point now) const;
     // Agents that pass a summary on to all entry instances.
     std::vector<std::uint32_t> relays(base::time_point now) const;
@@ -158,8 +159,14 @@
     // Sends one of the kept packets as a probe.
     void probe(const flow_key &key, const flow_route &route, flow_search &state,
                search_candidate &item, std::size_t packet, base::time_point now);
-    // Whether the candidate may still hold the flow, and serves the route.
-    bool isPossible(const flow_route &route, const search_candidate &item) const;
+    // Whether the search includes the upstream.
+    bool includes(const flow_route &route, const flow_search &state,
+                  const known_upstream &upstream) const;
+    // Whether the candidate may still hold the flow, and the search includes its upstream.
+    bool isPossible(const flow_route &route, const flow_search &state,
+                    const search_candidate &item) const;
+    // Extends the search to the upstreams of all services.
+    void widen(const flow_route &route, flow_search &state, base::time_point now);
     // Adds the upstreams of the current view that are no candidates yet; excluded counts as denied.
     void addCandidates(flow_search &state, const flow_route &route, std::uint32_t excluded,
                        base::time_point now);
@@ -172,8 +179,6 @@
     void resetClient(const packet_head &head, std::string_view reason, base::time_point now);
     // Continues all searches and ends those that have a result or have expired.
     void updateSearches(base::time_point now);
-    // Whether the upstream on the machine may hold a flow of the route.
-    bool mayHoldFlow(const flow_route &route, std::uint32_t machine) const;
     // Whether no candidate holds the flow, by the answers so far and by the current list.
     bool allDeny(const flow_route &route, const flow_search &state) const;
     // Describes the state of a search in a decision.
@@ -184,7 +189,8 @@
     void sendHellos(base::time_point now);
     // Time of the next missing answer or result of a probe; the maximum time when none is awaited.
     base::time_point nextProbeExpiry() const;
-    const std::string &chooseService(const flow_route &route, const flow_key &key) const;
+    // Returns the service for a new flow; nullptr if none of the route's services takes any.
+    static const std::string *chooseService(const flow_route &route, const flow_key &key);
 
     const entry_identity m_identity;
     const packet_codec &m_codec;
@@ -195,9 +201,9 @@
     view_exchange m_view;
     read_schedule m_schedule;
     // Routes in force, by address. Services that a route had in earlier versions may hold open
-    // flows; they stay in it with weight 0.
+    // flows; they stay in it with weight 0, as far as this process saw those versions.
     boost::unordered_flat_map<base::endpoint, flow_route, base::endpoint_hash> m_routes;
-    boost::unordered_flat_set<std::string> m_services; // of the routes
+    boost::unordered_flat_set<std::string> m_services; // of the configuration
     upstream_directory m_directory;
     boost::unordered_flat_map<flow_key, owner, flow_key_hash> m_owners;
     boost::unordered_flat_map<flow_key, flow_search, flow_key_hash> m_searches;
--- a/packages/flow/include/oriolehold/flow/flow_search.h
+++ b/packages/flow/include/oriolehold/flow/flow_search.h
@@ -69,6 +69,8 @@
     unsigned relayFailures = 0;        // results that did not arrive in time
     bool packetsDue = false;           // candidates that stay silent will get the other packets
     std::vector<search_candidate> candidates;
+    // The candidates include upstreams of services that the route does not have.
+    bool allServices = false;
     // Read time of the list and version of the routes that the candidates were taken from.
     base::time_point listReadAt {};
     std::uint64_t configurationVersion = 0;
--- a/packages/flow/include/oriolehold/flow/routing_view.h
+++ b/packages/flow/include/oriolehold/flow/routing_view.h
@@ -27,17 +27,19 @@
 struct weighted_service
 {
     std::string name;
-    std::uint32_t weight = 1; // share of new flows, relative to the route's other services
+    // Share of new flows, relative to the route's other services. A service with weight 0 gets no
+    // new flows and may hold open ones.
+    std::uint32_t weight = 1;
 
     bool operator==(const weighted_service &) const = default;
 };
 
-// A published address and the services that take its new flows.
+// A published address and its services.
 struct flow_route
 {
     base::endpoint address;
-    std::vector<weighted_service> services;
-    std::uint8_t priority = 0; // of the requests; 0 is the most urgent, 15 the least
+    std::vector<weighted_service> services; // new flows are reset if none has a weight above 0
+    std::uint8_t priority = 0;              // of the requests; 0 is the most urgent, 15 the least
     // Of the requests; 0 means "unknown".
     std::chrono::milliseconds latencyObjective {};
     std::chrono::milliseconds timeout {};
@@ -45,8 +47,8 @@
     bool operator==(const flow_route &) const = default;
 };
 
-// Whether upstreams of the service may hold flows of the route. The service is given by its name or
-// by its digest.
+// Whether the route has the service, so that its upstreams probably hold flows of the route. The
+// service is given by its name or by its digest.
 bool mayServe(const flow_route &route, std::string_view serviceName);
 bool mayServe(const flow_route &route, std::uint32_t digest);
 
@@ -55,6 +57,7 @@
     std::uint64_t version = 0; // assigned by the operator, increasing; 0 means "none yet"
     std::vector<flow_route> routes;
     std::chrono::milliseconds idleTimeout { 15000 };
+    std::vector<std::string> services; // names of all that exist, with or without a route
 
     bool operator==(const flow_configuration &) const = default;
 };
--- a/packages/flow/include/oriolehold/flow/upstream_directory.h
+++ b/packages/flow/include/oriolehold/flow/upstream_directory.h
@@ -55,11 +55,13 @@
     static constexpr std::chrono::milliseconds outageGap { 2500 };
 
     using record_filter = std::function<bool(const upstream_record &)>;
+    using upstream_filter = std::function<bool(const known_upstream &)>;
 
-    // Applies a list that was read at readAt. isRouted tells whether a route has the service of an
-    // entry. Returns false, and ignores the list, if it is older than the current one.
+    // Applies a list that was read at readAt. isKnownService tells whether the configuration has
+    // the service of an entry. Returns false, and ignores the list, if it is older than the current
+    // one.
     bool update(const upstream_list &list, base::time_point readAt, base::time_point now,
-                const record_filter &isRouted,
+                const record_filter &isKnownService,
                 const std::function<void(const directory_change &)> &onChange);
     // Stores the report of the agent on the machine; ignored if the machine is unknown.
     void report(std::uint32_t machine, const load_report &report, base::time_point now);
@@ -72,9 +74,9 @@
     const known_upstream *find(std::uint32_t machine) const;
     // Returns the upstreams that may take new flows of the service.
     std::vector<known_upstream *> eligible(std::string_view service);
-    // Returns all machines that may hold a flow of the route: first those whose agents are heard,
-    // of these the listed ones, of these those in zone.
-    std::vector<std::uint32_t> possibleOwners(const flow_route &route, std::string_view zone,
+    // Returns the machines of the upstreams that pass the filter: first those whose agents are
+    // heard, of these the listed ones, of these those in zone.
+    std::vector<std::uint32_t> possibleOwners(const upstream_filter &filter, std::string_view zone,
                                               base::time_point now) const;
     // Whether a report of the agent arrived recently.
     static bool isHeard(const known_upstream &upstream, base::time_point now);
@@ -98,7 +100,7 @@
 
     // Returns one entry for each machine.
     std::vector<listed_record> recordsByMachine(const upstream_list &list,
-                                                const record_filter &isRouted) const;
+                                                const record_filter &isKnownService) const;
 
     boost::unordered_flat_map<std::uint32_t, known_upstream> m_upstreams; // by machine address
     store_revision m_revision;
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -101,7 +101,7 @@
         searchOwner(key, *route, head, packet, 0, now);
 }
 
-const std::string &entry_balancer::chooseService(const flow_route &route, const flow_key &key) const
+const std::string *entry_balancer::chooseService(const flow_route &route, const flow_key &key)
 {
     std::uint64_t total = 0;
     for (const weighted_service &item : route.services)
@@ -110,17 +110,22 @@
     std::uint64_t point = total == 0 ? 0 : flow_key_hash()(key) % total;
     for (const weighted_service &item : route.services) {
         if (point < item.weight)
-            return item.name;
+            return &item.name;
         point -= item.weight;
     }
-    return route.services.front().name;
+    return nullptr;
 }
 
 void entry_balancer::placeFlow(const packet_head &head, base::byte_view packet,
                                const flow_route &route, base::time_point now)
 {
     const flow_key key = keyOfClientPacket(head);
-    auto candidates = m_directory.eligible(chooseService(route, key));
+    const std::string *service = chooseService(route, key);
+    if (service == nullptr) {
+        resetOrDrop(head, "no service of the route takes flows", true, now);
+        return;
+    }
+    auto candidates = m_directory.eligible(*service);
     known_upstream *chosen = m_policy.choose(candidates, m_identity.zone, now);
     if (chosen == nullptr) {
         const auto known = m_owners.find(key);
@@ -207,7 +212,9 @@
         return;
     }
     m_owners.erase(known);
-    searchOwner(key, *route, head, packet, sender, now);
+    // A misdirected packet has not reached the upstream, which may hold the flow.
+    const bool denied = head.tag.kind == instruction::absent;
+    searchOwner(key, *route, head, packet, denied ? sender : 0, now);
 }
 
 void entry_balancer::receiveRefused(const packet_head &head, base::byte_view packet,
@@ -276,8 +283,6 @@
 {
     const auto former = std::exchange(m_routes, {});
     for (const flow_route &route : configuration.routes) {
-        if (route.services.empty())
-            continue;
         flow_route &current = m_routes.emplace(route.address, route).first->second;
         const auto known = former.find(route.address);
         if (known == former.end())
@@ -287,7 +292,7 @@
                 current.services.push_back({ item.name, 0 });
         }
     }
-    m_services.clear();
+    m_services = { configuration.services.begin(), configuration.services.end() };
     for (const auto &[address, route] : m_routes) {
         for (const weighted_service &item : route.services)
             m_services.insert(item.name);
@@ -296,14 +301,14 @@
     m_observer.routesChanged(configuration);
 }
 
-bool entry_balancer::isRouted(const upstream_record &record) const
+bool entry_balancer::isKnownService(const upstream_record &record) const
 {
     return m_view.configuration().version == 0 || m_services.contains(record.service);
 }
 
 bool entry_balancer::needsHello(const known_upstream &upstream, base::time_point now) const
 {
-    return isRouted(upstream.record) || upstream_directory::isHeard(upstream, now);
+    return isKnownService(upstream.record) || upstream_directory::isHeard(upstream, now);
 }
 
 void entry_balancer::upstreamsUpdated(const upstream_list &list, base::time_point readAt,
@@ -318,7 +323,8 @@
         m_observer.storeRestored(former, list.revision);
     }
     m_directory.update(
-            list, readAt, now, [this](const upstream_record &record) { return isRouted(record); },
+            list, readAt, now,
+            [this](const upstream_record &record) { return isKnownService(record); },
             [this](const directory_change &change) { m_observer.directoryChanged(change); });
     boost::unordered::erase_if(m_unlistedAgents, [&](const auto &item) {
         return m_directory.find(item.first) != nullptr
--- a/packages/flow/src/owner_search.cpp
+++ b/packages/flow/src/owner_search.cpp
@@ -17,6 +17,9 @@
 // Packets that a client sends later than this after the first one of a round are not part of the
 // same burst. Clients repeat packets after 200 ms.
 constexpr base::duration roundInterval = 100ms;
+// After this time a search is extended to all services, although upstreams of the route's own ones
+// have not answered. Clients repeat packets after 200 ms.
+constexpr base::duration routedSearchTime = 200ms;
 // With more searches only the last packet of each is kept: 200 searches keep up to 4 MB.
 constexpr std::size_t maxSearchesThatKeepPackets = 200;
 
@@ -55,10 +58,30 @@
     sendProbes(key, route, state, now);
 }
 
+bool entry_balancer::includes(const flow_route &route, const flow_search &state,
+                              const known_upstream &upstream) const
+{
+    if (mayServe(route, upstream.record.service))
+        return true;
+    // A version that this process has not seen may have sent the route's flows to any service. An
+    // entry with an unknown service is one of another writer unless an agent is there.
+    const bool agentHeard = upstream.reportedAt != base::time_point {};
+    return state.allServices && (agentHeard || isKnownService(upstream.record));
+}
+
+void entry_balancer::widen(const flow_route &route, flow_search &state, base::time_point now)
+{
+    ++m_counters.widened;
+    state.allServices = true;
+    state.listReadAt = {};
+    addCandidates(state, route, 0, now);
+}
+
 void entry_balancer::addCandidates(flow_search &state, const flow_route &route,
                                    std::uint32_t excluded, base::time_point now)
 {
     const std::uint64_t version = m_view.configuration().version;
+    const auto filter = [&](const known_upstream &known) { return includes(route, state, known); };
     if (state.listReadAt == m_directory.readAt() && state.configurationVersion == version)
         return;
     state.listReadAt = m_directory.readAt();
@@ -66,7 +89,7 @@
     boost::unordered_flat_set<std::uint32_t> known;
     for (const search_candidate &item : state.candidates)
         known.insert(item.machine);
-    for (const std::uint32_t machine : m_directory.possibleOwners(route, m_identity.zone, now)) {
+    for (const std::uint32_t machine : m_directory.possibleOwners(filter, m_identity.zone, now)) {
         if (known.contains(machine))
             continue;
         search_candidate &added = state.candidates.emplace_back();
@@ -150,7 +173,7 @@
     if (found == m_searches.end() || route == nullptr)
         return;
     flow_search &state = found->second;
-    if (denial.misdirected && mayServe(*route, denial.serviceDigest)) {
+    if (denial.misdirected) {
         // The list here is older than the upstream; the agent names the upstream's present service.
         sendTagged(instruction::probe, denial.serviceDigest, route, machine,
                    state.currentPacket().bytes);
@@ -169,17 +192,10 @@
     continueSearches(now);
 }
 
-bool entry_balancer::mayHoldFlow(const flow_route &route, std::uint32_t machine) const
-{
-    const known_upstream *known = m_directory.find(machine);
-    return known != nullptr && mayServe(route, known->record.service)
-            && !m_directory.holdsNoFlows(machine);
-}
-
 bool entry_balancer::allDeny(const flow_route &route, const flow_search &state) const
 {
     return std::ranges::none_of(state.candidates, [&](const search_candidate &item) {
-        return !item.denied && mayHoldFlow(route, item.machine);
+        return isPossible(route, state, item) && !m_directory.holdsNoFlows(item.machine);
     });
 }
 
@@ -199,6 +215,9 @@
             return true;
         }
         addCandidates(state, *route, 0, now);
+        if (!state.allServices
+            && (allDeny(*route, state) || now - state.startedAt >= routedSearchTime))
+            widen(*route, state, now);
         if (state.packetsDue)
             sendKeptPackets(key, *route, state, now);
         if (!state.roundComplete && !state.queued) {
--- a/packages/flow/src/probe_dispatch.cpp
+++ b/packages/flow/src/probe_dispatch.cpp
@@ -31,10 +31,11 @@
 
 } // namespace
 
-bool entry_balancer::isPossible(const flow_route &route, const search_candidate &item) const
+bool entry_balancer::isPossible(const flow_route &route, const flow_search &state,
+                                const search_candidate &item) const
 {
     const known_upstream *known = m_directory.find(item.machine);
-    return !item.denied && known != nullptr && mayServe(route, known->record.service);
+    return !item.denied && known != nullptr && includes(route, state, *known);
 }
 
 void entry_balancer::probe(const flow_key &key, const flow_route &route, flow_search &state,
@@ -64,7 +65,7 @@
     std::size_t suspects = 0;
     for (search_candidate &item : state.candidates) {
         if (item.firstProbeAt == base::time_point {}
-            || item.received.count() >= state.packets.size() || !isPossible(route, item))
+            || item.received.count() >= state.packets.size() || !isPossible(route, state, item))
             continue;
         if (item.relayed || now - item.firstProbeAt < probeTimeout) {
             state.packetsDue = true;
@@ -87,7 +88,7 @@
                                 base::time_point now)
 {
     const auto isDue = [&](const search_candidate &item) {
-        return item.round < state.round && isPossible(route, item);
+        return item.round < state.round && isPossible(route, state, item);
     };
     // Upstreams that did not answer an earlier round come last, so that they do not delay the
     // probes of the others.
--- a/packages/flow/src/upstream_directory.cpp
+++ b/packages/flow/src/upstream_directory.cpp
@@ -10,17 +10,18 @@
 // service that a route has. Which of those that started at the same time is the upstream's cannot
 // be told, so no new flow goes there if one of them drains.
 std::vector<upstream_directory::listed_record>
-upstream_directory::recordsByMachine(const upstream_list &list, const record_filter &isRouted) const
+upstream_directory::recordsByMachine(const upstream_list &list,
+                                     const record_filter &isKnownService) const
 {
     const auto rank = [&](const upstream_record &record) {
         const known_upstream *known = find(record.address.address);
         return std::tuple(record.incarnation, known != nullptr && known->record.id == record.id,
-                          isRouted(record));
+                          isKnownService(record));
     };
     boost::unordered_flat_map<std::uint32_t, std::size_t> positions;
     std::vector<listed_record> result;
     for (const upstream_record &record : list.upstreams) {
-        const bool drains = record.phase == upstream_phase::draining && isRouted(record);
+        const bool drains = record.phase == upstream_phase::draining && isKnownService(record);
         const auto [item, added] = positions.try_emplace(record.address.address, result.size());
         if (added) {
             result.push_back({ &record, drains });
@@ -38,7 +39,7 @@
 }
 
 bool upstream_directory::update(const upstream_list &list, base::time_point readAt,
-                                base::time_point now, const record_filter &isRouted,
+                                base::time_point now, const record_filter &isKnownService,
                                 const std::function<void(const directory_change &)> &onChange)
 {
     if (list.revision < m_revision || readAt < m_readAt)
@@ -49,7 +50,7 @@
     m_revision = list.revision;
     m_readAt = readAt;
     using change = directory_change::kind;
-    for (const listed_record &listed : recordsByMachine(list, isRouted)) {
+    for (const listed_record &listed : recordsByMachine(list, isKnownService)) {
         const upstream_record &record = *listed.record;
         const auto [item, added] = m_upstreams.try_emplace(record.address.address);
         known_upstream &known = item->second;
@@ -145,13 +146,13 @@
     return upstream.reportedAt != base::time_point {} && now - upstream.reportedAt < agentTimeout;
 }
 
-std::vector<std::uint32_t> upstream_directory::possibleOwners(const flow_route &route,
+std::vector<std::uint32_t> upstream_directory::possibleOwners(const upstream_filter &filter,
                                                               std::string_view zone,
                                                               base::time_point now) const
 {
     std::vector<const known_upstream *> found;
     for (const auto &[machine, known] : m_upstreams) {
-        if (mayServe(route, known.record.service))
+        if (filter(known))
             found.push_back(&known);
     }
     // An agent that is not heard does not answer, or does not exist: entries of other writers name
--- a/packages/wire/src/flow_codec.cpp
+++ b/packages/wire/src/flow_codec.cpp
@@ -101,7 +101,8 @@
 void serialize(Archive &archive, flow_configuration &value)
 {
     archive(value.version, length_prefixed_list<flow_route> { value.routes },
-            milliseconds { value.idleTimeout });
+            milliseconds { value.idleTimeout },
+            length_prefixed_list<std::string> { value.services });
 }
 
 template<typename Archive>
--- a/packages/wire/src/internal/serialization.h
+++ b/packages/wire/src/internal/serialization.h
@@ -123,6 +123,16 @@
 using microseconds = duration_count<base::duration>;
 using milliseconds = duration_count<std::chrono::milliseconds>;
 
+// cereal's own form of a text has a 64-bit length, which allocates any size for a corrupt one.
+template<typename Archive, typename Item>
+void archiveItem(Archive &archive, Item &item)
+{
+    if constexpr (std::is_same_v<Item, std::string>)
+        archive(bytes(item));
+    else
+        archive(item);
+}
+
 // Serialization of a sequence with a 16-bit length prefix. Each element takes at least one byte, so
 // decoding with a corrupt prefix stops at the end of the input.
 template<typename Item>
@@ -137,7 +147,7 @@
         const std::size_t size = std::min(items.size(), maxItems);
         archive(static_cast<std::uint16_t>(size));
         for (Item &item : std::span(items).first(size))
-            archive(item);
+            archiveItem(archive, item);
     }
 
     template<typename Archive>
@@ -147,7 +157,7 @@
         archive(size);
         items.clear();
         while (items.size() < size)
-            archive(items.emplace_back());
+            archiveItem(archive, items.emplace_back());
     }
 };
 
--- a/packages/wire/tests/flow_codec_test.cpp
+++ b/packages/wire/tests/flow_codec_test.cpp
@@ -37,6 +37,7 @@
     configuration.routes = { { key.service, { { "orders", 90 }, { "catalog", 10 } }, 2, 100ms, 8s },
                              { { 1, 2 }, { { "catalog", 1 } } } };
     configuration.idleTimeout = 9s;
+    configuration.services = { "orders", "catalog", "orders-next" };
     return configuration;
 }
 
