Let the agent tell which of several entries is its upstream's

The upstream also got no new flows, until 20 s after the entry was gone.

Cause: recordsByMachine ranked the start of an entry before its service, so the entry of the other writer replaced that of the upstream. The new instance sent its agent no hello and no probe. Two entries with the same start and routed services tie, and the one known first was kept.

Change: agents announce the service of their upstream, with the answers to the first hellos of an instance and every 5 s (a new kind of message, which older processes ignore). Entries of an address count by this first, then by whether the configuration declares their service, then by their start; an older start may replace a newer one that is less credible. Probes and claimed flows are tagged for the announced service.

The runs draw entries with later starts now, from a source of their own.

Ruled out: a late or incomplete list.

--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -113,6 +113,8 @@
     void routesChanged(const flow_configuration &configuration) override;
     void upstreamsUpdated(const upstream_list &list, base::time_point readAt,
                           base::time_point now) override;
+    // Applies the list to the directory.
+    void applyList(const upstream_list &list, base::time_point readAt, base::time_point now);
     // Whether the configuration has the service; true for all services before the first one.
     bool isKnownService(const upstream_record &record) const;
     // Whether the upstream's agent needs hellos. Entries of other writers may have a service that
@@ -171,6 +173,8 @@
     void addCandidates(flow_search &state, const flow_route &route, std::uint32_t excluded,
                        base::time_point now);
     void receiveDenial(const flow_denial &denial, std::uint32_t machine, base::time_point now);
+    void receiveAnnouncement(std::uint32_t machine, const service_announcement &announcement,
+                             base::time_point now);
     void receiveClaim(const flow_key &key, std::uint32_t machine, base::time_point now);
     // Resets the client if certain is set and the packet is the first copy of an opening packet,
     // else drops the packet.
--- a/packages/flow/include/oriolehold/flow/flow_agent.h
+++ b/packages/flow/include/oriolehold/flow/flow_agent.h
@@ -179,6 +179,7 @@
     probe_relay m_relay;
     view_exchange m_view;
     base::time_point m_nextReport {};
+    base::time_point m_nextAnnouncement {};
     base::time_point m_nextExpiry {};
     base::time_point m_nextTick {}; // when the next call of tick() is due
     base::byte_vector m_scratch;
--- a/packages/flow/include/oriolehold/flow/peer_message.h
+++ b/packages/flow/include/oriolehold/flow/peer_message.h
@@ -109,9 +109,19 @@
     bool operator==(const probe_result &) const = default;
 };
 
+// From an agent to entry instances: the service of its upstream. The store may hold several entries
+// of one address, of which only this tells which one is the upstream's.
+struct service_announcement
+{
+    std::uint32_t serviceDigest = 0;
+
+    bool operator==(const service_announcement &) const = default;
+};
+
 // Processes ignore kinds that they do not know, so new ones come last.
-using peer_message = std::variant<entry_hello, load_report, flow_claim, flow_denial, view_summary,
-                                  view_request, view_page, probe_request, probe_result>;
+using peer_message =
+        std::variant<entry_hello, load_report, flow_claim, flow_denial, view_summary, view_request,
+                     view_page, probe_request, probe_result, service_announcement>;
 
 // Sends messages to other processes. machine is the IPv4 address of the receiver.
 class message_output
--- a/packages/flow/include/oriolehold/flow/upstream_directory.h
+++ b/packages/flow/include/oriolehold/flow/upstream_directory.h
@@ -21,6 +21,8 @@
     base::time_point seenInList {}; // read time of the last list that has it
     base::time_point removedAt {};  // when it ceased to be listed
     base::time_point warmUpEndsAt {};
+    // Digest of the service that the agent announced; empty: none so far.
+    std::optional<std::uint32_t> announcedService;
     load_report report;
     base::time_point reportedAt {};        // arrival of the report; epoch: never
     base::time_point heardAt {};           // last message of its agent, at first when it was added
@@ -29,6 +31,11 @@
 
     // IPv4 address.
     std::uint32_t machine() const { return record.address.address; }
+    // Of the service of the agent, as far as it is known, else of the entry.
+    std::uint32_t serviceDigest() const
+    {
+        return announcedService.value_or(flow::serviceDigest(record.service));
+    }
 };
 
 struct directory_change
@@ -65,6 +72,10 @@
                 const std::function<void(const directory_change &)> &onChange);
     // Stores the report of the agent on the machine; ignored if the machine is unknown.
     void report(std::uint32_t machine, const load_report &report, base::time_point now);
+    // Stores the service that the agent on the machine announced; ignored if the machine is
+    // unknown. Returns whether another entry of the machine may count now, so that the list must be
+    // applied again.
+    bool announce(std::uint32_t machine, std::uint32_t serviceDigest);
     // The agent on the machine sent a message; ignored if the machine is unknown.
     void hear(std::uint32_t machine, base::time_point now);
     // Time of the last message of any agent that the directory has; epoch: none.
@@ -91,6 +102,16 @@
     base::time_point readAt() const { return m_readAt; }
 
 private:
+    // How far an entry is known to be that of the upstream on its machine, rather than one of
+    // another writer. Higher ones count before lower ones.
+    struct credibility
+    {
+        bool isAnnounced = false;    // the agent announced the service
+        bool isKnownService = false; // the configuration has the service
+
+        auto operator<=>(const credibility &) const = default; // NOLINT(modernize-use-nullptr)
+    };
+
     // The entry that counts for a machine.
     struct listed_record
     {
@@ -98,6 +119,8 @@
         bool anyDrains = false; // one of the entries of the same start does
     };
 
+    static credibility credibilityOf(const upstream_record &record, const known_upstream *known,
+                                     const record_filter &isKnownService);
     // Returns one entry for each machine.
     std::vector<listed_record> recordsByMachine(const upstream_list &list,
                                                 const record_filter &isKnownService) const;
--- a/packages/flow/include/oriolehold/flow/view_exchange.h
+++ b/packages/flow/include/oriolehold/flow/view_exchange.h
@@ -67,6 +67,7 @@
     // Time of the read that the list of upstreams comes from; epoch before the first.
     base::time_point readAt() const { return m_readAt; }
     const flow_configuration &configuration() const { return m_configuration; }
+    const upstream_list &upstreams() const { return m_upstreams; }
 
 private:
     // The pages of one document that have arrived so far.
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -251,10 +251,20 @@
         receiveDenial(*denied, machine, now);
     else if (const auto *result = std::get_if<probe_result>(&message))
         receiveResult(*result, now);
+    else if (const auto *announced = std::get_if<service_announcement>(&message))
+        receiveAnnouncement(machine, *announced, now);
     else
         m_view.receive(machine, message, now);
 }
 
+void entry_balancer::receiveAnnouncement(std::uint32_t machine,
+                                         const service_announcement &announcement,
+                                         base::time_point now)
+{
+    if (m_directory.announce(machine, announcement.serviceDigest))
+        applyList(m_view.upstreams(), m_view.readAt(), now);
+}
+
 void entry_balancer::resetOrDrop(const packet_head &head, std::string_view reason, bool certain,
                                  base::time_point now)
 {
@@ -322,10 +332,7 @@
         ++m_counters.storeRestores;
         m_observer.storeRestored(former, list.revision);
     }
-    m_directory.update(
-            list, readAt, now,
-            [this](const upstream_record &record) { return isKnownService(record); },
-            [this](const directory_change &change) { m_observer.directoryChanged(change); });
+    applyList(list, readAt, now);
     boost::unordered::erase_if(m_unlistedAgents, [&](const auto &item) {
         return m_directory.find(item.first) != nullptr
                 || now - item.second >= upstream_directory::reregistrationTime;
@@ -334,6 +341,15 @@
         sendHellos(now);
 }
 
+void entry_balancer::applyList(const upstream_list &list, base::time_point readAt,
+                               base::time_point now)
+{
+    m_directory.update(
+            list, readAt, now,
+            [this](const upstream_record &record) { return isKnownService(record); },
+            [this](const directory_change &change) { m_observer.directoryChanged(change); });
+}
+
 bool entry_balancer::readDue(base::time_point now) const
 {
     return m_schedule.due(now, m_view.readAt(), m_view.complete())
--- a/packages/flow/src/flow_agent.cpp
+++ b/packages/flow/src/flow_agent.cpp
@@ -24,6 +24,9 @@
 constexpr base::duration stallTime = 20ms;
 // Unanswered packets until the upstream is reported as unresponsive. A single one may be lost.
 constexpr std::uint32_t unresponsiveAfter = 2;
+// The service of the upstream is announced with the answer to the first hellos of an instance, and
+// again at this interval because an instance forgets upstreams that are not listed for a while.
+constexpr base::duration announcementInterval = 5s;
 // The claims that answer the first hello of an instance may be lost, and are sent again with the
 // next hellos.
 constexpr std::uint32_t claimRepetitions = 2;
@@ -352,6 +355,8 @@
     m_holdQueue.setSlots(hello->slots);
     if (entry.claimsLeft > 0) {
         --entry.claimsLeft;
+        // First, so that the instance knows the service of the flows.
+        m_output.sendMessage(machine, service_announcement { m_serviceDigest });
         claimAllFlows(machine);
     }
     if (restarted)
@@ -457,6 +462,11 @@
     for (const auto &[machine, entry] : m_entries)
         m_output.sendMessage(machine, report);
     m_nextReport = now + reportInterval;
+    if (now < m_nextAnnouncement)
+        return;
+    for (const auto &[machine, entry] : m_entries)
+        m_output.sendMessage(machine, service_announcement { m_serviceDigest });
+    m_nextAnnouncement = now + announcementInterval;
 }
 
 base::duration flow_agent::tick(base::time_point now)
--- a/packages/flow/src/owner_search.cpp
+++ b/packages/flow/src/owner_search.cpp
@@ -61,7 +61,7 @@
 bool entry_balancer::includes(const flow_route &route, const flow_search &state,
                               const known_upstream &upstream) const
 {
-    if (mayServe(route, upstream.record.service))
+    if (mayServe(route, upstream.record.service) || mayServe(route, upstream.serviceDigest()))
         return true;
     // A version that this process has not seen may have sent the route's flows to any service. An
     // entry with an unknown service is one of another writer unless an agent is there.
@@ -138,7 +138,7 @@
     }
     item.machine = machine;
     item.lastSeen = base::unixSeconds(now);
-    item.serviceDigest = serviceDigest(known->record.service);
+    item.serviceDigest = known->serviceDigest();
     item.confirmed = true;
     const auto found = m_searches.find(key);
     if (found == m_searches.end())
--- a/packages/flow/src/probe_dispatch.cpp
+++ b/packages/flow/src/probe_dispatch.cpp
@@ -42,7 +42,7 @@
                            search_candidate &item, std::size_t packet, base::time_point now)
 {
     const known_upstream *known = m_directory.find(item.machine);
-    sendTagged(instruction::probe, serviceDigest(known->record.service), &route, item.machine,
+    sendTagged(instruction::probe, known->serviceDigest(), &route, item.machine,
                state.packets[packet].bytes);
     item.received.set(packet);
     item.lastProbeAt = now;
@@ -124,10 +124,9 @@
 void entry_balancer::relayProbes(const flow_key &key, const flow_route &route, flow_search &state,
                                  std::vector<search_candidate *> &due, base::time_point now)
 {
-    const std::uint32_t digest =
-            serviceDigest(m_directory.find(due.front()->machine)->record.service);
+    const std::uint32_t digest = m_directory.find(due.front()->machine)->serviceDigest();
     const auto isOfService = [&](const search_candidate *item) {
-        return serviceDigest(m_directory.find(item->machine)->record.service) == digest;
+        return m_directory.find(item->machine)->serviceDigest() == digest;
     };
     // Clang 14 does not compile the call in std::ranges.
     const auto others = std::stable_partition(due.begin(), due.end(), isOfService);
--- a/packages/flow/src/upstream_directory.cpp
+++ b/packages/flow/src/upstream_directory.cpp
@@ -5,34 +5,50 @@
 
 namespace oriolehold::flow {
 
+upstream_directory::credibility
+upstream_directory::credibilityOf(const upstream_record &record, const known_upstream *known,
+                                  const record_filter &isKnownService)
+{
+    const bool isAnnounced =
+            known != nullptr && known->announcedService == serviceDigest(record.service);
+    return { isAnnounced, isKnownService(record) };
+}
+
 // Several entries may have the same address: that of a former upstream, which has not lapsed yet,
-// or one of another writer. The one that started last counts, then the known one, then one with a
-// service that a route has. Which of those that started at the same time is the upstream's cannot
-// be told, so no new flow goes there if one of them drains.
+// or one of another writer. The most credible one counts, of these the one that started last, then
+// the known one. Which of equally credible ones that started at the same time is the upstream's
+// cannot be told, so no new flow goes there if one of them drains.
 std::vector<upstream_directory::listed_record>
 upstream_directory::recordsByMachine(const upstream_list &list,
                                      const record_filter &isKnownService) const
 {
     const auto rank = [&](const upstream_record &record) {
         const known_upstream *known = find(record.address.address);
-        return std::tuple(record.incarnation, known != nullptr && known->record.id == record.id,
-                          isKnownService(record));
+        return std::tuple(credibilityOf(record, known, isKnownService), record.incarnation,
+                          known != nullptr && known->record.id == record.id);
+    };
+    const auto isSameStart = [&](const upstream_record &record, const upstream_record &other) {
+        const known_upstream *known = find(record.address.address);
+        return record.incarnation == other.incarnation
+                && credibilityOf(record, known, isKnownService)
+                == credibilityOf(other, known, isKnownService);
     };
     boost::unordered_flat_map<std::uint32_t, std::size_t> positions;
     std::vector<listed_record> result;
     for (const upstream_record &record : list.upstreams) {
-        const bool drains = record.phase == upstream_phase::draining && isKnownService(record);
+        const bool drains = record.phase == upstream_phase::draining;
         const auto [item, added] = positions.try_emplace(record.address.address, result.size());
         if (added) {
             result.push_back({ &record, drains });
             continue;
         }
         listed_record &chosen = result[item->second];
-        if (record.incarnation == chosen.record->incarnation)
+        const bool replaces = rank(record) > rank(*chosen.record);
+        if (isSameStart(record, *chosen.record))
             chosen.anyDrains = chosen.anyDrains || drains;
-        else if (record.incarnation > chosen.record->incarnation)
+        else if (replaces)
             chosen.anyDrains = drains;
-        if (rank(record) > rank(*chosen.record))
+        if (replaces)
             chosen.record = &record;
     }
     return result;
@@ -57,7 +73,9 @@
         const bool restarted = !added
                 && (known.record.incarnation != record.incarnation
                     || (record.incarnation == 0 && known.record.id != record.id));
-        if (restarted && known.record.incarnation > record.incarnation)
+        const bool isLessCredible = credibilityOf(known.record, &known, isKnownService)
+                < credibilityOf(record, &known, isKnownService);
+        if (restarted && known.record.incarnation > record.incarnation && !isLessCredible)
             continue; // a former upstream of the address; its entry has not lapsed yet
         // An upstream does not end its drain before it restarts. An entry that says so is older
         // than the known one, as in a store that was restored from a copy.
@@ -69,8 +87,11 @@
             onChange({ change::restarted, record.id, record.address });
         else if (known.record.phase != record.phase && !drains)
             onChange({ change::phaseChanged, record.id, record.address });
-        if (restarted)
+        if (restarted) {
+            const auto announced = known.announcedService;
             known = {};
+            known.announcedService = announced;
+        }
         if (added || restarted)
             known.heardAt = now;
         known.record = record;
@@ -109,6 +130,15 @@
     known->assignedSinceReport = 0;
 }
 
+bool upstream_directory::announce(std::uint32_t machine, std::uint32_t serviceDigest)
+{
+    known_upstream *known = find(machine);
+    if (known == nullptr || known->announcedService == serviceDigest)
+        return false;
+    known->announcedService = serviceDigest;
+    return flow::serviceDigest(known->record.service) != serviceDigest;
+}
+
 void upstream_directory::hear(std::uint32_t machine, base::time_point now)
 {
     known_upstream *known = find(machine);
--- a/packages/flow/tests/deployment_simulation.cpp
+++ b/packages/flow/tests/deployment_simulation.cpp
@@ -205,7 +205,7 @@
 deployment_simulation::deployment_simulation(std::uint64_t seed, store_history history,
                                              store_writers writers)
     : m_random(seed), m_storeRandom(~seed), m_history(history), m_writerRandom(seed + 1),
-      m_writers(writers)
+      m_startTimeRandom(seed + 2), m_writers(writers)
 {
     m_steadyHash = chance(50);
     m_twoServices = chance(60);
--- a/packages/flow/tests/deployment_simulation.h
+++ b/packages/flow/tests/deployment_simulation.h
@@ -226,6 +226,7 @@
     base::seeded_random m_storeRandom;
     const store_history m_history;
     base::seeded_random m_writerRandom;
+    base::seeded_random m_startTimeRandom; // of entries of other writers
     const store_writers m_writers;
     std::set<std::string> m_foreignIds; // entries of other writers
     base::time_point m_now = atMilliseconds(0);
--- a/packages/flow/tests/deployment_troubles.cpp
+++ b/packages/flow/tests/deployment_troubles.cpp
@@ -34,6 +34,7 @@
 // Entries of other writers.
 constexpr std::size_t manyForeignEntries = 500;
 constexpr std::uint64_t mostForeignSlots = 1024;
+constexpr std::uint64_t latestStart = 50; // of an entry of another writer, after the one it copies
 // Addresses without a machine, between those of the agents and of the entry instances.
 constexpr std::uint32_t firstUnusedMachine = 500;
 constexpr std::uint32_t unusedMachines = 400;
@@ -405,6 +406,15 @@
         record.incarnation = 0;
     if (m_writerRandom.below(3) == 0)
         record.warmUpLeft = 1h;
+    // An entry of the upstream's own service with a later start says that it was restarted; nobody
+    // can tell that it did not.
+    const upstream *copied = record.address.address <= m_upstreams.size()
+            ? m_upstreams[record.address.address - 1].get()
+            : nullptr;
+    if (copied != nullptr && copied->service == record.service)
+        record.incarnation = std::min(record.incarnation, copied->number);
+    else if (m_startTimeRandom.below(3) == 0)
+        record.incarnation += 1 + m_startTimeRandom.below(latestStart);
     return record;
 }
 
--- a/packages/flow/tests/entry_balancer_test.cpp
+++ b/packages/flow/tests/entry_balancer_test.cpp
@@ -76,6 +76,14 @@
         head.acknowledgement = copy;
         return head;
     }
+    // An entry of another writer with the address of the upstream on the machine and a later start.
+    static upstream_record foreignRecord(std::uint32_t machine, std::string service)
+    {
+        upstream_record result = record(machine, std::move(service));
+        result.id = "other-writer";
+        result.incarnation += 1000;
+        return result;
+    }
     void receive(const packet_head &head, std::int64_t at)
     {
         balancer.receivePacket(fake_codec::encode(head), 0, atMilliseconds(at));
@@ -1353,6 +1361,109 @@
     STRCMP_EQUAL("i-1", balancer.directory().find(1)->record.id.c_str());
 }
 
+// Guards against resets of open flows: an entry of another writer with a later start hid a live
+// upstream, whose agent got no hellos and no probes.
+TEST(entry_balancer, EntryOfAnUnknownServiceDoesNotHideAnUpstream)
+{
+    upstream_record foreign = foreignRecord(1, "inventory");
+    upstreams.upstreams.insert(upstreams.upstreams.begin(), foreign);
+    publish(0);
+    balancer.tick(atMilliseconds(500));
+    receive(packet(), 510);
+
+    STRCMP_EQUAL("i-1", balancer.directory().find(1)->record.id.c_str());
+    CHECK_TRUE(std::ranges::any_of(output.messages, [](const auto &item) {
+        return item.first == 1 && std::holds_alternative<entry_hello>(item.second);
+    }));
+    CHECK_TRUE(probedMachines().contains(1));
+}
+
+// The same while the services are not known yet: the list may arrive before the configuration.
+TEST(entry_balancer, UpstreamThatWasHiddenBeforeTheFirstConfigurationIsUsed)
+{
+    upstreams.upstreams.push_back(foreignRecord(1, "inventory"));
+    upstreams.revision = { era, ++revision };
+    balancer.finishRead(std::nullopt, upstreams, atMilliseconds(0), atMilliseconds(0));
+    publish(100);
+
+    STRCMP_EQUAL("i-1", balancer.directory().find(1)->record.id.c_str());
+}
+
+// Two entries of services that exist differ in nothing that the store knows. Only the agent tells
+// which one is its upstream's.
+TEST(entry_balancer, EntryOfTheServiceThatTheAgentAnnouncesCounts)
+{
+    upstreams.upstreams.push_back(foreignRecord(1, "catalog"));
+    publish(0);
+    balancer.receiveMessage(1, service_announcement { serviceDigest("orders") }, atMilliseconds(5));
+    receive(packet(), 10);
+
+    STRCMP_EQUAL("i-1", balancer.directory().find(1)->record.id.c_str());
+    CHECK_TRUE(probedMachines().contains(1));
+    publish(500);
+    STRCMP_EQUAL("i-1", balancer.directory().find(1)->record.id.c_str());
+}
+
+// Guards against open flows whose packets do not reach their upstream: a copy of its entry for
+// another service, with the same start, was known first and kept.
+TEST(entry_balancer, CopyForAnotherServiceThatWasKnownFirstDoesNotHideItsUpstream)
+{
+    routes.routes.push_back({ unknownAddress, { { "catalog", 1 } } });
+    upstream_record copy = record(1, "catalog");
+    copy.id = "a-copy";
+    upstreams.upstreams.insert(upstreams.upstreams.begin(), copy);
+    publish(0);
+    balancer.receiveMessage(1, service_announcement { serviceDigest("orders") }, atMilliseconds(5));
+    receive(packet(), 10);
+
+    STRCMP_EQUAL("i-1", balancer.directory().find(1)->record.id.c_str());
+    CHECK_TRUE(probedMachines().contains(1));
+}
+
+// The upstream's own entry may be missing for a while: it lapses when the upstream cannot reach the
+// store.
+TEST(entry_balancer, UpstreamWithOnlyAnEntryOfAnotherWriterIsProbedForItsService)
+{
+    upstreams.upstreams = { foreignRecord(1, "catalog") };
+    publish(0);
+    balancer.receiveMessage(1, service_announcement { serviceDigest("orders") }, atMilliseconds(5));
+    receive(packet(), 10);
+
+    CHECK_EQUAL(1, output.toAgents.size());
+    CHECK_EQUAL(serviceDigest("orders"), output.toAgents.front().head.tag.value);
+}
+
+// Guards against an upstream that gets no flows for 20 s after the entry of another writer is gone.
+TEST(entry_balancer, UpstreamIsUsedWhenTheEntryThatHidItIsRemoved)
+{
+    upstreams.upstreams = { record(1), foreignRecord(1, "catalog") };
+    publish(0);
+    upstreams.upstreams.pop_back();
+    publish(100);
+    balancer.receiveMessage(1, service_announcement { serviceDigest("orders") },
+                            atMilliseconds(150));
+    receive(opening(), 200);
+
+    CHECK_EQUAL(1, output.toAgents.size());
+    CHECK_EQUAL(1, output.toAgents.front().machine);
+}
+
+// The announcement of a former agent must not hide the upstream that uses its address now.
+TEST(entry_balancer, UpstreamOfAnotherServiceAtAReusedAddressIsUsed)
+{
+    upstreams.upstreams = { record(1, "catalog") };
+    publish(0);
+    balancer.receiveMessage(1, service_announcement { serviceDigest("catalog") },
+                            atMilliseconds(5));
+    upstreams.upstreams = { record(1) };
+    upstreams.upstreams.front().incarnation = 9;
+    publish(3000);
+    receive(opening(), 3010);
+
+    CHECK_EQUAL(1, output.toAgents.size());
+    CHECK_EQUAL(serviceDigest("orders"), output.toAgents.front().head.tag.value);
+}
+
 // Entries of other writers name machines without agents. Summaries sent there reach nobody, and
 // every instance reads the store itself.
 TEST(entry_balancer, SummariesGoToAgentsThatReport)
--- a/packages/flow/tests/flow_agent_test.cpp
+++ b/packages/flow/tests/flow_agent_test.cpp
@@ -119,6 +119,21 @@
     }
 };
 
+// Otherwise an entry of another writer for the same address is taken for that of the upstream.
+TEST(flow_agent, AnnouncesItsServiceToNewEntryInstancesAndAtIntervals)
+{
+    sendHello();
+    CHECK_EQUAL(1, output.sent<service_announcement>().size());
+    CHECK_EQUAL(serviceDigest("orders"), output.sent<service_announcement>().at(0).serviceDigest);
+    for (std::int64_t at = 0; at < 10'000; at += 500) {
+        agent.receiveMessage(entry.address, entry_hello { 1, "zone-a", 2 }, atMilliseconds(at));
+        agent.tick(atMilliseconds(at));
+    }
+
+    CHECK_TRUE(output.sent<service_announcement>().size() >= 4);
+    CHECK_TRUE(output.sent<service_announcement>().size() <= 6);
+}
+
 // An upstream at a reused address must not get packets for the service of its predecessor.
 TEST(flow_agent, PacketForAnotherServiceDoesNotReachTheUpstream)
 {
--- a/packages/wire/src/flow_codec.cpp
+++ b/packages/wire/src/flow_codec.cpp
@@ -83,6 +83,12 @@
             length_prefixed_list<std::uint32_t> { value.denied });
 }
 
+template<typename Archive>
+void serialize(Archive &archive, service_announcement &value)
+{
+    archive(value.serviceDigest);
+}
+
 template<typename Archive>
 void serialize(Archive &archive, weighted_service &value)
 {
--- a/packages/wire/tests/flow_codec_test.cpp
+++ b/packages/wire/tests/flow_codec_test.cpp
@@ -20,7 +20,8 @@
              flow::view_page { flow::document_kind::upstreams, 9, 1s, 1, 3,
                                base::byte_vector(1000, 0x5a) },
              flow::probe_request { 4, { 1, 2, 3 }, base::byte_vector(150, 0x5a) },
-             flow::probe_result { 4, key, 2, { 1, 3 } } };
+             flow::probe_result { 4, key, 2, { 1, 3 } },
+             flow::service_announcement { 0x123456 } };
 }
 
 base::byte_vector encoded(const flow::peer_message &message)
