Place opening packets from ports that had a flow before

Cause: receiveFromClient forwarded each packet of a known flow to its owner, opening packets too; the table keeps an owner for 60 s after the last packet. The new flow was neither placed nor checked against the upstream's state or the routes.

Change: an opening packet needs a route, and goes to the known owner only if it is a copy of the packet that opened this flow (same sequence number; after a claim of a flow that was placed elsewhere, a later copy while the owner may take flows of the route). Any other one begins a new flow. The same cause in the agent: an opening packet with another sequence number ends what it knows of the former flow, so that the new one is claimed, and packets that acknowledge what the upstream never sent on an ended flow are denied instead of passed on.

Ruled out: a late list (clients with new ports are placed elsewhere in time).

--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -104,6 +104,10 @@
         // Of the upstream's service when the flow was placed or claimed. The address may serve
         // another service since then.
         std::uint32_t serviceDigest = 0;
+        // Sequence number of the opening packet, and when its first copy was placed here; the epoch
+        // if only other instances placed flows of these addresses and ports.
+        std::uint32_t openingSequence = 0;
+        base::time_point placedAt {};
         std::uint8_t refusals = 0; // of the opening packet, and returns without an answer
         // An upstream that has not answered the opening packet in time may still accept it.
         bool mayBeAccepted = false;
@@ -124,10 +128,20 @@
     std::vector<std::uint32_t> relays(base::time_point now) const;
     const flow_route *routeOf(const base::endpoint &service) const;
     void receiveFromClient(const packet_head &head, base::byte_view packet, base::time_point now);
+    void receiveOpening(const packet_head &head, base::byte_view packet, base::time_point now);
+    // Forwards a client's packet to the owner in the table.
+    void forwardKnown(owner &item, const base::endpoint &service, base::byte_view packet,
+                      base::time_point now);
     void receiveReturned(const packet_head &head, base::byte_view packet, std::uint32_t sender,
                          base::time_point now);
     void receiveRefused(const packet_head &head, base::byte_view packet, const flow_route &route,
                         base::time_point now);
+    // Whether the opening packet is a copy of the one that opened the flow, rather than the first
+    // of a new flow from the same port.
+    bool isCopyOfOpening(const packet_head &head, const flow_route &route, const owner &item,
+                         base::time_point now) const;
+    // Forgets what is known of a former flow with the same addresses and ports.
+    void forgetFlow(const flow_key &key);
     void placeFlow(const packet_head &head, base::byte_view packet, const flow_route &route,
                    base::time_point now);
     void forward(const owner &item, const base::endpoint &service, base::byte_view packet);
--- a/packages/flow/include/oriolehold/flow/flow_agent.h
+++ b/packages/flow/include/oriolehold/flow/flow_agent.h
@@ -79,7 +79,10 @@
         base::duration held {};        // time that the running request was held
         std::uint32_t requestSequence = 0; // end of the data delivered so far; 0: none
         std::uint32_t openingSequence = 0; // of the answer to the opening packet
-        std::uint8_t priority = 0;         // of the running request
+        std::uint32_t upstreamEnd = 0;     // end of what the upstream sent; valid with an answer
+        bool openingAnswered = false;      // the two numbers above are known
+        std::optional<std::uint32_t> clientSequence; // of the client's opening packet
+        std::uint8_t priority = 0;                   // of the running request
         bool open = false;
         bool answered = false; // the upstream has sent a packet of the flow
         bool finishedByClient = false;
@@ -117,6 +120,11 @@
     void routesChanged(const flow_configuration &) override { }
     void upstreamsUpdated(const upstream_list &, base::time_point, base::time_point) override { }
 
+    // Forgets the flow of an earlier opening packet with the same addresses and ports.
+    void forgetFormerFlow(const flow_key &key, const packet_head &opening, base::time_point now);
+    // Whether the packet is of a flow that the client opened elsewhere, from the port of a flow
+    // that has ended here. The upstream would answer it with a reset.
+    static bool belongsToLaterFlow(const flow_state &state, const packet_head &head);
     // Index of the entry instance in m_entryEndpoints. Adds it if it is new.
     std::uint32_t entryIndex(const base::endpoint &entry);
     void receiveReturned(const packet_head &head, base::byte_view packet, base::time_point now);
--- a/packages/flow/include/oriolehold/flow/routing_view.h
+++ b/packages/flow/include/oriolehold/flow/routing_view.h
@@ -51,6 +51,8 @@
 // service is given by its name or by its digest.
 bool mayServe(const flow_route &route, std::string_view serviceName);
 bool mayServe(const flow_route &route, std::uint32_t digest);
+// Whether new flows of the route go to the service.
+bool takesFlows(const flow_route &route, std::string_view serviceName);
 
 struct flow_configuration
 {
--- a/packages/flow/include/oriolehold/flow/upstream_directory.h
+++ b/packages/flow/include/oriolehold/flow/upstream_directory.h
@@ -83,6 +83,8 @@
 
     known_upstream *find(std::uint32_t machine);
     const known_upstream *find(std::uint32_t machine) const;
+    // Whether the upstream may take new flows of its service.
+    static bool mayTakeFlows(const known_upstream &upstream);
     // Returns the upstreams that may take new flows of the service.
     std::vector<known_upstream *> eligible(std::string_view service);
     // Returns the machines of the upstreams that pass the filter: first those whose agents are
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -27,8 +27,11 @@
 constexpr base::duration isolationTimeout = 700ms;
 // Flows older than 60 s may be discarded, idle ones earlier. Clients stop opening a flow after
 // 1.4 s.
-constexpr std::uint32_t ownerLifetime = 60;       // seconds since the last packet
-constexpr std::uint32_t unconfirmedLifetime = 5;  // seconds since the last packet
+constexpr std::uint32_t ownerLifetime = 60;      // seconds since the last packet
+constexpr std::uint32_t unconfirmedLifetime = 5; // seconds since the last packet
+// Copies of an opening packet arrive within this time: clients stop after 1.4 s, and packets may be
+// late.
+constexpr base::duration openingTime = 3s;
 constexpr std::uint8_t maxRefusals = 3;           // of one opening packet
 constexpr base::duration refusalAvoidance = 50ms; // about the time in which a queue empties
 // Agents that forward the summary of a read. Two may be lost at a time.
@@ -79,26 +82,65 @@
                                        base::time_point now)
 {
     const flow_key key = keyOfClientPacket(head);
-    auto known = m_owners.find(key);
-    if (known != m_owners.end() && m_directory.holdsNoFlows(known->second.machine)) {
+    if (const auto known = m_owners.find(key);
+        known != m_owners.end() && m_directory.holdsNoFlows(known->second.machine))
         m_owners.erase(known);
-        known = m_owners.end();
-    }
-    if (known != m_owners.end()) {
-        known->second.lastSeen = base::unixSeconds(now);
-        ++m_counters.knownFlow;
-        forward(known->second, key.service, packet);
-        return;
-    }
+    if (head.isOpening())
+        receiveOpening(head, packet, now);
+    else if (const auto item = m_owners.find(key); item != m_owners.end())
+        forwardKnown(item->second, key.service, packet, now);
+    else if (const flow_route *route = routeOf(key.service))
+        searchOwner(key, *route, head, packet, 0, now);
+    else
+        ++m_counters.dropped;
+}
+
+void entry_balancer::receiveOpening(const packet_head &head, base::byte_view packet,
+                                    base::time_point now)
+{
+    const flow_key key = keyOfClientPacket(head);
     const flow_route *route = routeOf(key.service);
     if (route == nullptr) {
         resetOrDrop(head, "no route", m_view.configuration().version != 0, now);
         return;
     }
-    if (head.isOpening())
-        placeFlow(head, packet, *route, now);
-    else
-        searchOwner(key, *route, head, packet, 0, now);
+    const auto known = m_owners.find(key);
+    if (known != m_owners.end() && isCopyOfOpening(head, *route, known->second, now)) {
+        forwardKnown(known->second, key.service, packet, now);
+        return;
+    }
+    if (known != m_owners.end() || head.retransmitCount() == 0)
+        forgetFlow(key);
+    placeFlow(head, packet, *route, now);
+}
+
+void entry_balancer::forwardKnown(owner &item, const base::endpoint &service,
+                                  base::byte_view packet, base::time_point now)
+{
+    item.lastSeen = base::unixSeconds(now);
+    ++m_counters.knownFlow;
+    forward(item, service, packet);
+}
+
+bool entry_balancer::isCopyOfOpening(const packet_head &head, const flow_route &route,
+                                     const owner &item, base::time_point now) const
+{
+    if (now - item.placedAt < openingTime)
+        return item.openingSequence == head.sequence;
+    // Another instance may have placed a later flow, whose sequence number is not known here.
+    const known_upstream *known = m_directory.find(item.machine);
+    return head.retransmitCount() > 0 && known != nullptr
+            && upstream_directory::mayTakeFlows(*known) && takesFlows(route, known->record.service);
+}
+
+void entry_balancer::forgetFlow(const flow_key &key)
+{
+    m_owners.erase(key);
+    const auto found = m_searches.find(key);
+    if (found == m_searches.end())
+        return;
+    withdrawProbes(found->second);
+    m_searches.erase(found);
 }
 
 const std::string *entry_balancer::chooseService(const flow_route &route, const flow_key &key)
@@ -139,6 +181,10 @@
     item.machine = chosen->machine();
     item.lastSeen = base::unixSeconds(now);
     item.serviceDigest = serviceDigest(chosen->record.service);
+    if (!again) {
+        item.openingSequence = head.sequence;
+        item.placedAt = now;
+    }
     item.confirmed = false;
     forward(item, key.service, packet);
     ++(again ? m_counters.replaced : m_counters.placed);
--- a/packages/flow/src/flow_agent.cpp
+++ b/packages/flow/src/flow_agent.cpp
@@ -101,9 +101,21 @@
                           packet);
         return;
     }
+    if (head->isOpening())
+        forgetFormerFlow(key, *head, now);
     const auto [item, added] = m_flows.try_emplace(key);
     flow_state &state = item->second;
+    if (belongsToLaterFlow(state, *head)) {
+        ++m_counters.absent;
+        if (isProbe)
+            m_output.sendMessage(entry.address, flow_denial { key, m_serviceDigest });
+        else
+            returnToEntry(entry, instruction::absent, packet);
+        return;
+    }
     state.lastSeen = now;
+    if (head->isOpening())
+        state.clientSequence = head->sequence;
     if (head->isOpening() && added) {
         const std::size_t retransmits =
                 std::min<std::size_t>(head->retransmitCount(), retransmitTimes.size() - 1);
@@ -124,6 +136,28 @@
     deliver(key, state, *head, now);
 }
 
+void flow_agent::forgetFormerFlow(const flow_key &key, const packet_head &opening,
+                                  base::time_point now)
+{
+    const auto found = m_flows.find(key);
+    if (found == m_flows.end())
+        return;
+    const flow_state &state = found->second;
+    // An agent that was restarted knows the flow but not its opening packet.
+    const bool isLater = state.clientSequence ? *state.clientSequence != opening.sequence
+                                              : state.ended() || opening.retransmitCount() == 0;
+    if (isLater)
+        removeFlow(key, now);
+}
+
+bool flow_agent::belongsToLaterFlow(const flow_state &state, const packet_head &head)
+{
+    // Sequence numbers wrap around.
+    return state.ended() && state.openingAnswered && head.acknowledges && !head.opens
+            && head.acknowledgement - state.openingSequence
+            > state.upstreamEnd - state.openingSequence;
+}
+
 bool flow_agent::beginsRequest(const flow_state &state, const packet_head &head)
 {
     // Sequence numbers wrap around. A retransmission of an answered request begins no new request.
@@ -232,8 +266,16 @@
     flow_state &state = m_flows[key];
     state.lastSeen = now;
     state.answered = true;
-    if (head->opens)
+    // Opening and finishing packets take one sequence number each.
+    const std::uint32_t end =
+            head->sequence + head->payloadSize + (head->opens ? 1 : 0) + (head->finishes ? 1 : 0);
+    if (head->opens) {
         state.openingSequence = head->sequence;
+        state.openingAnswered = true;
+        state.upstreamEnd = end;
+    } else if (static_cast<std::int32_t>(end - state.upstreamEnd) > 0) {
+        state.upstreamEnd = end;
+    }
     state.finishedByUpstream = state.finishedByUpstream || head->finishes;
     closeIfEnded(state);
     if (!head->opens && !head->resets && !state.open && !state.ended())
--- a/packages/flow/src/routing_view.cpp
+++ b/packages/flow/src/routing_view.cpp
@@ -38,4 +38,11 @@
     });
 }
 
+bool takesFlows(const flow_route &route, std::string_view serviceName)
+{
+    return std::ranges::any_of(route.services, [serviceName](const weighted_service &item) {
+        return item.name == serviceName && item.weight > 0;
+    });
+}
+
 } // namespace oriolehold::flow
--- a/packages/flow/src/upstream_directory.cpp
+++ b/packages/flow/src/upstream_directory.cpp
@@ -160,12 +160,17 @@
     return found == m_upstreams.end() ? nullptr : &found->second;
 }
 
+bool upstream_directory::mayTakeFlows(const known_upstream &upstream)
+{
+    return upstream.listed && upstream.record.phase == upstream_phase::ready
+            && !upstream.anyEntryDrains;
+}
+
 std::vector<known_upstream *> upstream_directory::eligible(std::string_view service)
 {
     std::vector<known_upstream *> result;
     for (auto &[machine, known] : m_upstreams) {
-        if (known.listed && known.record.phase == upstream_phase::ready && !known.anyEntryDrains
-            && known.record.service == service)
+        if (mayTakeFlows(known) && known.record.service == service)
             result.push_back(&known);
     }
     return result;
--- a/packages/flow/tests/flow_agent_test.cpp
+++ b/packages/flow/tests/flow_agent_test.cpp
@@ -81,6 +81,23 @@
         agent.receiveMessage(entry.address, entry_hello { bootId, "zone-a", slots },
                              atMilliseconds(0));
     }
+    // Opens a flow, answers 100 bytes and ends it from both sides.
+    void openAndEndFlow()
+    {
+        receive(opening(), 0);
+        packet_head head = fromUpstream();
+        head.opens = true;
+        head.sequence = 50'000;
+        answer(head, 1);
+        head = fromUpstream(100);
+        head.finishes = true;
+        head.sequence = 50'001;
+        answer(head, 10);
+        head = fromClient(instruction::deliver, 0, 101);
+        head.acknowledgement = 50'102;
+        head.finishes = true;
+        receive(head, 20);
+    }
     // Opens a flow and sends its request; each flow has its own client port. copy is the number of
     // earlier copies of its opening packet.
     void request(std::uint16_t port, std::int64_t at, std::uint8_t priority = 1,
@@ -119,6 +136,61 @@
     }
 };
 
+// Guards against open flows that no entry instance knows: the agent took the opening packet for one
+// of the former flow, which had ended, and did not claim the new one.
+TEST(flow_agent, FlowFromAPortThatWasUsedBeforeIsClaimed)
+{
+    sendHello();
+    openAndEndFlow();
+    CHECK_EQUAL(0, agent.openFlows());
+    output.messages.clear();
+    packet_head head = opening();
+    head.sequence = 9000;
+    receive(head, 5000);
+    head = fromUpstream();
+    head.opens = true;
+    head.sequence = 77000;
+    answer(head, 5001);
+    answer(fromUpstream(100), 5010);
+
+    CHECK_EQUAL(1, agent.openFlows());
+    CHECK_EQUAL(1, output.sent<flow_claim>().size());
+}
+
+// An upstream answers data on a flow that has ended with a reset, which the client takes for one of
+// its present flow at another upstream.
+TEST(flow_agent, DataOfALaterFlowDoesNotReachTheUpstreamOfTheFormerOne)
+{
+    sendHello();
+    openAndEndFlow();
+    const std::size_t delivered = output.toUpstream.size();
+    output.messages.clear();
+    packet_head later = fromClient(instruction::deliver, 100, 9001);
+    later.acknowledgement = 123'456'789;
+    receive(later, 5000);
+    later.tag.kind = instruction::probe;
+    receive(later, 5001);
+
+    CHECK_EQUAL(delivered, output.toUpstream.size());
+    CHECK_EQUAL(1, output.toEntries.size());
+    CHECK_TRUE(output.toEntries.front().head.tag.kind == instruction::absent);
+    CHECK_EQUAL(1, output.sent<flow_denial>().size());
+    CHECK_EQUAL(0, output.sent<flow_claim>().size());
+}
+
+// The upstream must get the copies of the client's last packets, or the client repeats them.
+TEST(flow_agent, LastPacketsOfAnEndedFlowReachItsUpstream)
+{
+    openAndEndFlow();
+    const std::size_t delivered = output.toUpstream.size();
+    packet_head last = fromClient(instruction::deliver, 0, 101);
+    last.finishes = true;
+    last.acknowledgement = 50'102; // opening packet, 100 bytes and the finishing packet
+    receive(last, 300);
+
+    CHECK_EQUAL(delivered + 1, output.toUpstream.size());
+}
+
 // Otherwise an entry of another writer for the same address is taken for that of the upstream.
 TEST(flow_agent, AnnouncesItsServiceToNewEntryInstancesAndAtIntervals)
 {
