Log packets of later flows that an agent denies

Cause: the agent counted them as packets that its upstream had returned, and logged nothing, so that an operator could not tell the two. Change: event flowAbsent with the reason; the counter's description names both. Result: tests of flow_agent pass.

--- a/packages/flow/include/oriolehold/flow/flow_agent.h
+++ b/packages/flow/include/oriolehold/flow/flow_agent.h
@@ -39,7 +39,7 @@
     std::uint64_t opened = 0;       // flows
     std::uint64_t refused = 0;      // opening packets that the upstream returned
     std::uint64_t unanswered = 0;   // opening packets without an answer in time
-    std::uint64_t absent = 0;       // other packets that the upstream returned
+    std::uint64_t absent = 0;       // other packets of flows that the upstream does not hold
     std::uint64_t claims = 0;       // broadcasts to all entry instances
     std::uint64_t held = 0;         // requests
     std::uint64_t relayed = 0;      // searches on behalf of entry instances
@@ -125,6 +125,10 @@
     // Whether the packet is of a flow that the client opened elsewhere, from the port of a flow
     // that has ended here. The upstream would answer it with a reset.
     static bool belongsToLaterFlow(const flow_state &state, const packet_head &head);
+    // Tells the entry instance that the upstream does not hold the flow of a packet that it did not
+    // get.
+    void denyLaterFlow(const flow_key &key, const base::endpoint &entry, const packet_head &head,
+                       base::byte_view packet);
     // Index of the entry instance in m_entryEndpoints. Adds it if it is new.
     std::uint32_t entryIndex(const base::endpoint &entry);
     void receiveReturned(const packet_head &head, base::byte_view packet, base::time_point now);
--- a/packages/flow/src/flow_agent.cpp
+++ b/packages/flow/src/flow_agent.cpp
@@ -106,11 +106,7 @@
     const auto [item, added] = m_flows.try_emplace(key);
     flow_state &state = item->second;
     if (belongsToLaterFlow(state, *head)) {
-        ++m_counters.absent;
-        if (isProbe)
-            m_output.sendMessage(entry.address, flow_denial { key, m_serviceDigest });
-        else
-            returnToEntry(entry, instruction::absent, packet);
+        denyLaterFlow(key, entry, *head, packet);
         return;
     }
     state.lastSeen = now;
@@ -158,6 +154,20 @@
             > state.upstreamEnd - state.openingSequence;
 }
 
+void flow_agent::denyLaterFlow(const flow_key &key, const base::endpoint &entry,
+                               const packet_head &head, base::byte_view packet)
+{
+    ++m_counters.absent;
+    m_observer.decisionMade({ .kind = decision_kind::flowAbsent,
+                              .flow = key,
+                              .machine = entry.address,
+                              .reason = "the packet is of a later flow from the same port" });
+    if (head.tag.kind == instruction::probe)
+        m_output.sendMessage(entry.address, flow_denial { key, m_serviceDigest });
+    else
+        returnToEntry(entry, instruction::absent, packet);
+}
+
 bool flow_agent::beginsRequest(const flow_state &state, const packet_head &head)
 {
     // Sequence numbers wrap around. A retransmission of an answered request begins no new request.
