Draw used ports and changes of services in the randomised runs

Each client flow took the next free port, and each version of the configuration gave the routes the same services.

Change: with varied habits, half of the new flows use a port whose former flow both ends have closed, with another first sequence number, and every one to six seconds a version sends the new flows of the orders route to orders, catalog, both, or catalog with orders at weight 0. The check of new flows knows the services of each version: one that no version allowed is a violation always, one that was superseded more than 3 s before the client began only in calm times. Upstreams answer a new opening packet from a used port with a new sequence number, clients ignore answers to former ones. Plain runs draw what they drew before. Six wrong variants are added to flow_mutants.sh, which takes a pattern of names now; two expressions follow the present source.

--- a/packages/flow/tests/deployment_checks.cpp
+++ b/packages/flow/tests/deployment_checks.cpp
@@ -61,7 +61,7 @@
 {
     const std::uint16_t port = head.source.port;
     client_flow &flow = m_flows.at(port);
-    if (!ownerLives(port, flow))
+    if (!ownerLives(port, flow) || !flow.hasSent(head.sequence))
         return;
     if (flow.owner == item.machine) {
         flow.strays.clear();
@@ -97,14 +97,35 @@
 void deployment_simulation::checkNewFlow(const upstream &item, const packet_head &head,
                                          std::size_t entryIndex)
 {
-    const base::endpoint expected = item.service == "orders" ? ordersEndpoint : catalogEndpoint;
-    if (head.destination != expected)
-        reportViolation("a new flow reached an upstream of another service");
+    checkService(item, head, entryIndex);
     if (item.draining && m_now - item.drainingSince > drainLimit
         && calmSince(m_now, entryIndex, item))
         reportViolation("a draining upstream got a new flow");
 }
 
+void deployment_simulation::checkService(const upstream &item, const packet_head &head,
+                                         std::size_t entryIndex)
+{
+    const auto allows = [&item](const allowed_services &version) {
+        return std::ranges::find(version.names, item.service) != version.names.end();
+    };
+    const auto &versions = m_allowedServices[head.destination.address];
+    if (std::ranges::none_of(versions, allows))
+        reportViolation("a new flow reached an upstream of another service");
+    if (!calmSince(m_now, entryIndex, item))
+        return;
+    // Versions that were superseded long before the client began to open the flow.
+    const base::time_point begunAt = m_flows.at(head.source.port).begunAt;
+    const auto inForce = std::ranges::find_if(versions, [&](const allowed_services &version) {
+        const auto next = std::ranges::find_if(versions, [&](const allowed_services &other) {
+            return other.since > version.since;
+        });
+        return next == versions.end() || next->since + configurationLimit >= begunAt;
+    });
+    if (std::none_of(inForce, versions.end(), allows))
+        reportViolation("a new flow reached a service that its route no longer has");
+}
+
 void deployment_simulation::checkMisrouting()
 {
     for (auto &[port, flow] : m_flows) {
--- a/packages/flow/tests/deployment_clients.cpp
+++ b/packages/flow/tests/deployment_clients.cpp
@@ -16,8 +16,9 @@
 constexpr base::duration firstRetransmit = 200ms;
 constexpr base::duration longestRetransmit = 1600ms;
 constexpr int mostRetransmits = 8;
-constexpr std::uint16_t fullPacketSize = 60; // other than lastPacketSize
-constexpr unsigned uploadPercent = 10;       // of requests; they have several packets
+constexpr std::uint64_t largestOpening = 1'000'000'000; // sequence number of an opening packet
+constexpr std::uint16_t fullPacketSize = 60;            // other than lastPacketSize
+constexpr unsigned uploadPercent = 10;                  // of requests; they have several packets
 constexpr base::duration checkInterval = 500ms;
 constexpr int missesUntilOut = 2;
 // A readiness check of a process that stalls for longer is missed.
@@ -30,10 +31,29 @@
 
 } // namespace
 
+std::uint16_t deployment_simulation::choosePort()
+{
+    if (m_habits == habits::plain || m_closedPorts.empty() || m_habitRandom.below(2) == 0)
+        return m_nextPort++;
+    std::swap(m_closedPorts[m_habitRandom.below(m_closedPorts.size())], m_closedPorts.back());
+    const std::uint16_t port = m_closedPorts.back();
+    m_closedPorts.pop_back();
+    ++m_counts.portsUsedAgain;
+    return port;
+}
+
 void deployment_simulation::openFlow()
 {
-    const std::uint16_t port = m_nextPort++;
+    const std::uint16_t port = choosePort();
     client_flow &flow = m_flows[port];
+    client_flow next;
+    next.use = flow.use + 1;
+    next.generation = flow.generation + 1;
+    next.begunAt = m_now;
+    if (m_habits == habits::varied)
+        next.openingSequence = static_cast<std::uint32_t>(m_habitRandom.below(largestOpening));
+    next.sequence = next.openingSequence + 1;
+    flow = std::move(next);
     flow.service = m_twoServices && chance(25) ? catalogEndpoint : ordersEndpoint;
     flow.zone = randomIndex(2);
     switch (m_random.below(4)) {
@@ -49,23 +69,26 @@
         break;
     }
     for (std::size_t i = 0; i < openingTimes.size(); ++i)
-        schedule(openingTimes[i],
-                 [this, port, i] { sendOpening(port, static_cast<std::uint32_t>(i)); });
-    schedule(openingTimeout, [this, port] {
+        schedule(openingTimes[i], [this, port, use = flow.use, i] {
+            sendOpening(port, use, static_cast<std::uint32_t>(i));
+        });
+    schedule(openingTimeout, [this, port, use = flow.use] {
         client_flow &opened = m_flows[port];
-        opened.ended = opened.ended || !opened.established;
+        if (opened.use == use)
+            opened.ended = opened.ended || !opened.established;
     });
 }
 
-void deployment_simulation::sendOpening(std::uint16_t port, std::uint32_t copy)
+void deployment_simulation::sendOpening(std::uint16_t port, std::uint32_t use, std::uint32_t copy)
 {
     const client_flow &flow = m_flows[port];
-    if (flow.established || flow.ended)
+    if (flow.use != use || flow.established || flow.ended)
         return;
     packet_head head;
     head.source = { clientMachine, port };
     head.destination = flow.service;
     head.opens = true;
+    head.sequence = flow.openingSequence;
     head.acknowledgement = copy;
     route(head);
 }
@@ -137,14 +160,18 @@
         ++m_counts.resets;
         flow.ended = true;
     } else if (head.opens) {
-        if (flow.established)
+        const bool isOfFormerFlow = head.acknowledgement != flow.openingSequence + 1;
+        if (flow.established || isOfFormerFlow)
             return;
         flow.established = true;
         flow.offer = head.sequence;
         sendRequest(port);
     } else if (head.finishes) {
-        m_counts.flowsEnded += flow.finishing ? 1 : 0;
-        flow.ended = flow.ended || flow.finishing;
+        if (!flow.finishing)
+            return;
+        ++m_counts.flowsEnded;
+        flow.ended = true;
+        m_closedPorts.push_back(port);
     } else if (head.payloadSize > 0 && !flow.unanswered.empty() && !flow.finishing
                && head.acknowledgement == flow.sequence) {
         continueFlow(port);
--- a/packages/flow/tests/deployment_parts.h
+++ b/packages/flow/tests/deployment_parts.h
@@ -51,6 +51,13 @@
     std::unique_ptr<entry_balancer> balancer;
 };
 
+// The answer of an upstream to an opening packet.
+struct deployment_simulation::offer
+{
+    std::uint32_t clientSequence = 0; // of the opening packet
+    std::uint32_t sequence = 0;       // of the answer
+};
+
 // An open flow at its upstream.
 struct deployment_simulation::upstream_flow
 {
@@ -83,9 +90,8 @@
     base::time_point busyUntil {};
     unsigned busyFactor = 1;
     base::time_point lateUntil {};
-    base::duration longestReturn {}; // while it returns packets late
-    // Sequence numbers of the answers to opening packets, by client port.
-    std::map<std::uint16_t, std::uint32_t> offered;
+    base::duration longestReturn {};              // while it returns packets late
+    std::map<std::uint16_t, offer> offered;       // by client port
     std::map<std::uint16_t, upstream_flow> flows; // by client port
     // Entry instances that sent the last packet of a flow, by client port.
     std::map<std::uint16_t, std::size_t> senders;
@@ -126,7 +132,10 @@
     bool finishing = false;
     int requestsLeft = 1;
     int answers = 0;
-    base::duration longestPause {}; // between requests
+    base::duration longestPause {};    // between requests
+    std::uint32_t use = 0;             // number of flows from the port before
+    base::time_point begunAt {};       // when the first opening packet was sent
+    std::uint32_t openingSequence = 0; // of the opening packet
     std::uint32_t sequence = 1;
     std::vector<packet_head> unanswered;
     std::uint32_t generation = 0; // of the present request, for its timers
@@ -135,6 +144,13 @@
     std::uint64_t ownerNumber = 0;
     std::map<std::uint32_t, base::time_point> atOwner; // last arrivals, by sequence number
     std::vector<stray> strays; // since the last packet that reached the owner
+
+    // Whether the client sent a packet with this sequence number in this flow, rather than in a
+    // former one from the same port.
+    bool hasSent(std::uint32_t number) const
+    {
+        return number >= openingSequence && number <= sequence;
+    }
 };
 
 inline constexpr std::uint32_t firstEntryMachine = 1000; // address of the first entry instance
--- a/packages/flow/tests/deployment_simulation.cpp
+++ b/packages/flow/tests/deployment_simulation.cpp
@@ -203,16 +203,18 @@
 };
 
 deployment_simulation::deployment_simulation(std::uint64_t seed, store_history history,
-                                             store_writers writers)
+                                             store_writers writers, habits kind)
     : m_random(seed), m_storeRandom(~seed), m_history(history), m_writerRandom(seed + 1),
-      m_startTimeRandom(seed + 2), m_writers(writers)
+      m_startTimeRandom(seed + 2), m_writers(writers), m_habitRandom(seed + 3), m_habits(kind)
 {
     m_steadyHash = chance(50);
-    m_twoServices = chance(60);
+    m_twoServices = chance(60) || m_habits == habits::varied;
     m_configuration.version = 1;
     m_configuration.routes = { { ordersEndpoint, { { "orders", 1 } }, 1 } };
     if (m_twoServices)
         m_configuration.routes.push_back({ catalogEndpoint, { { "catalog", 1 } }, 2 });
+    if (m_habits == habits::varied)
+        m_configuration.services = { "orders", "catalog" };
     const bool large = chance(largePercent);
     const std::size_t least = large ? mediumUpstreams : smallUpstreams;
     const std::size_t most = large ? largeUpstreams : mediumUpstreams;
@@ -482,9 +484,20 @@
     if (!m_storeUp)
         return;
     m_store.publish(m_configuration, m_now);
-    if (m_acknowledgedVersions.empty()
-        || m_acknowledgedVersions.back().second != m_configuration.version)
-        m_acknowledgedVersions.emplace_back(m_now, m_configuration.version);
+    if (!m_acknowledgedVersions.empty()
+        && m_acknowledgedVersions.back().second == m_configuration.version)
+        return;
+    m_acknowledgedVersions.emplace_back(m_now, m_configuration.version);
+    for (const flow_route &route : m_configuration.routes) {
+        std::vector<std::string> names;
+        for (const weighted_service &item : route.services) {
+            if (item.weight > 0)
+                names.push_back(item.name);
+        }
+        auto &versions = m_allowedServices[route.address.address];
+        if (versions.empty() || versions.back().names != names)
+            versions.push_back({ m_now, names });
+    }
 }
 
 void deployment_simulation::whenStoreIsUp(std::function<void()> action)
@@ -518,6 +531,8 @@
     }
     if (m_writers == store_writers::othersToo)
         writeForeignEntriesAtTimes();
+    if (m_habits == habits::varied && m_twoServices)
+        changeServicesAtTimes();
     repeat(100ms, [this] {
         checkMisrouting();
         checkViews();
--- a/packages/flow/tests/deployment_simulation.h
+++ b/packages/flow/tests/deployment_simulation.h
@@ -53,9 +53,14 @@
     // upstreams that do not exist.
     enum class store_writers { upstreamsOnly, othersToo };
 
+    // What clients and the operator do. With varied habits, clients open flows from ports that had
+    // a flow before, and versions of the configuration send new flows to other services.
+    enum class habits { plain, varied };
+
     explicit deployment_simulation(std::uint64_t seed,
                                    store_history history = store_history::continuous,
-                                   store_writers writers = store_writers::upstreamsOnly);
+                                   store_writers writers = store_writers::upstreamsOnly,
+                                   habits kind = habits::plain);
     ~deployment_simulation();
     deployment_simulation(const deployment_simulation &) = delete;
     deployment_simulation &operator=(const deployment_simulation &) = delete;
@@ -80,6 +85,8 @@
         int judgedStrays = 0;   // those that count for the check of misrouted flows
         int restores = 0;       // of the store
         int foreignEntries = 0; // written by others than the upstreams
+        int portsUsedAgain = 0;
+        int serviceChanges = 0; // of routes
         std::array<int, troubleKinds> troubles {};
     };
     // Valid after run().
@@ -95,6 +102,7 @@
     struct request;
     struct link;
     struct client_flow;
+    struct offer;
     struct stray;
     class simulated_entry_output;
     class simulated_agent_output;
@@ -150,7 +158,9 @@
 
     // Clients and the router.
     void openFlow();
-    void sendOpening(std::uint16_t port, std::uint32_t copy);
+    // A new port, or with varied habits at times one whose flow both ends have closed.
+    std::uint16_t choosePort();
+    void sendOpening(std::uint16_t port, std::uint32_t use, std::uint32_t copy);
     void sendRequest(std::uint16_t port);
     void sendFinish(std::uint16_t port);
     void transmit(std::uint16_t port);
@@ -194,6 +204,8 @@
     void beginRestore();
     base::time_point randomCopyTime();
     void writeAgain();
+    void changeServicesAtTimes();
+    void changeServices();
     void slowStore();
     void writeForeignEntriesAtTimes();
     void writeForeignEntries();
@@ -207,6 +219,7 @@
     void noteReset(client_flow &flow, std::uint16_t port, std::size_t entryIndex);
     void noteProcessed(upstream &item, const packet_head &head, std::size_t entryIndex);
     void checkNewFlow(const upstream &item, const packet_head &head, std::size_t entryIndex);
+    void checkService(const upstream &item, const packet_head &head, std::size_t entryIndex);
     void eraseExcused(client_flow &flow);
     void checkMisroutingPeriod(std::uint16_t port, client_flow &flow);
     void checkMisrouting();
@@ -228,7 +241,10 @@
     base::seeded_random m_writerRandom;
     base::seeded_random m_startTimeRandom; // of entries of other writers
     const store_writers m_writers;
-    std::set<std::string> m_foreignIds; // entries of other writers
+    base::seeded_random m_habitRandom;
+    const habits m_habits;
+    std::vector<std::uint16_t> m_closedPorts; // ports whose flows both ends have closed
+    std::set<std::string> m_foreignIds;       // entries of other writers
     base::time_point m_now = atMilliseconds(0);
     std::uint64_t m_order = 0;
     struct event
@@ -256,6 +272,13 @@
     flow_configuration m_configuration; // the operator's newest
     // Versions that the store acknowledged and the times of it, oldest first.
     std::vector<std::pair<base::time_point, std::uint64_t>> m_acknowledgedVersions;
+    // Services that take new flows of a route, and the times at which the store acknowledged them.
+    struct allowed_services
+    {
+        base::time_point since {};
+        std::vector<std::string> names;
+    };
+    std::map<std::uint32_t, std::vector<allowed_services>> m_allowedServices; // by address
     simulated_store m_store;
     bool m_storeUp = true;
     base::time_point m_storeSlowUntil {};
--- a/packages/flow/tests/deployment_troubles.cpp
+++ b/packages/flow/tests/deployment_troubles.cpp
@@ -199,6 +199,36 @@
         });
 }
 
+void deployment_simulation::changeServicesAtTimes()
+{
+    schedule(randomDuration(m_habitRandom, 1s, 6s), [this] {
+        changeServices();
+        changeServicesAtTimes();
+    });
+}
+
+void deployment_simulation::changeServices()
+{
+    flow_route &route = m_configuration.routes.front();
+    switch (m_habitRandom.below(4)) {
+    case 0:
+        route.services = { { "orders", 1 } };
+        break;
+    case 1:
+        route.services = { { "catalog", 1 } };
+        break;
+    case 2:
+        route.services = { { "orders", 0 }, { "catalog", 100 } };
+        break;
+    default:
+        route.services = { { "orders", 90 }, { "catalog", 10 } };
+        break;
+    }
+    ++m_counts.serviceChanges;
+    ++m_configuration.version;
+    writeConfiguration();
+}
+
 void deployment_simulation::moveClients()
 {
     const auto percent = static_cast<unsigned>(5 + randomIndex(60));
--- a/packages/flow/tests/deployment_upstreams.cpp
+++ b/packages/flow/tests/deployment_upstreams.cpp
@@ -77,7 +77,8 @@
     }
     const std::uint16_t port = head.source.port;
     const auto offered = item.offered.find(port);
-    const bool opens = offered != item.offered.end() && head.acknowledgement == offered->second;
+    const bool opens =
+            offered != item.offered.end() && head.acknowledgement == offered->second.sequence;
     if (opens && !item.flows.contains(port))
         openAt(item, head);
     noteProcessed(item, head, item.senders[port]);
@@ -106,22 +107,28 @@
         returnPacket(item, head);
         return;
     }
-    std::uint32_t &offer = item.offered[port];
-    if (offer == 0)
-        offer = static_cast<std::uint32_t>(m_random.below(1'000'000'000) + 1);
+    offer &answered = item.offered[port];
+    if (answered.sequence != 0 && answered.clientSequence != head.sequence) {
+        item.flows.erase(port); // a former flow from the same port
+        answered = {};
+    }
+    if (answered.sequence == 0)
+        answered = { head.sequence, static_cast<std::uint32_t>(m_random.below(1'000'000'000) + 1) };
     packet_head reply;
     reply.source = head.destination;
     reply.destination = head.source;
     reply.opens = true;
     reply.acknowledges = true;
-    reply.sequence = offer;
+    reply.sequence = answered.sequence;
+    reply.acknowledgement = answered.clientSequence + 1;
     sendFromUpstream(item, reply, localDelay);
 }
 
 void deployment_simulation::openAt(upstream &item, const packet_head &head)
 {
     const std::uint16_t port = head.source.port;
-    item.flows[port];
+    upstream_flow &opened = item.flows[port];
+    opened.expected = opened.answered = item.offered[port].clientSequence + 1;
     client_flow &flow = m_flows.at(port);
     flow.owner = item.machine;
     flow.ownerNumber = item.number;
@@ -181,8 +188,10 @@
         if (!item.alive || item.number != number)
             return;
         --item.serving;
-        item.flows[next.port].answered = next.end;
-        sendAnswer(item, next.port, next.end);
+        if (const auto found = item.flows.find(next.port); found != item.flows.end()) {
+            found->second.answered = next.end;
+            sendAnswer(item, next.port, next.end);
+        }
         beginService(item);
     });
 }
--- a/packages/flow/tests/flow_random_test.cpp
+++ b/packages/flow/tests/flow_random_test.cpp
@@ -168,6 +168,41 @@
     }
 }
 
+// Guards against resets of open flows by instances that do not know the former services of a route,
+// and against new flows that go where a former flow from the same port was.
+TEST(flow_random, PromisesHoldWhenPortsAreUsedAgainAndRoutesChangeTheirServices)
+{
+    using simulation_type = deployment_simulation;
+    constexpr std::uint64_t lastInCi = 20;
+    const auto [first, last] = seeds(lastInCi);
+    for (std::uint64_t seed = first; seed <= last; ++seed) {
+        simulation_type simulation(seed, simulation_type::store_history::continuous,
+                                   simulation_type::store_writers::upstreamsOnly,
+                                   simulation_type::habits::varied);
+        const std::string violation = simulation.run(std::chrono::seconds { 30 });
+        const std::string text = "seed " + std::to_string(seed) + " (varied habits): " + violation;
+        CHECK_TRUE_TEXT(violation.empty(), text.c_str());
+    }
+}
+
+// The checks above are only meaningful if the runs draw both.
+TEST(flow_random, RunsWithVariedHabitsUsePortsAgainAndChangeServices)
+{
+    using simulation_type = deployment_simulation;
+    constexpr int runs = 4;
+    deployment_simulation::statistics total;
+    for (std::uint64_t seed = 1; seed <= runs; ++seed) {
+        simulation_type simulation(seed, simulation_type::store_history::continuous,
+                                   simulation_type::store_writers::upstreamsOnly,
+                                   simulation_type::habits::varied);
+        simulation.run(std::chrono::seconds { 30 });
+        total.portsUsedAgain += simulation.counts().portsUsedAgain;
+        total.serviceChanges += simulation.counts().serviceChanges;
+    }
+    CHECK_TRUE(total.portsUsedAgain > runs * 50);
+    CHECK_TRUE(total.serviceChanges > runs);
+}
+
 // The checks of a restored store are only meaningful if the runs restore it, with traffic.
 TEST(flow_random, RunsWithARestoredStoreIncludeRestores)
 {
--- a/scripts/flow_mutants.sh
+++ b/scripts/flow_mutants.sh
@@ -1,11 +1,12 @@
 #!/usr/bin/env bash
 # Mutation test of the randomised flow tests: builds faulty variants of packages/flow in a temporary copy and runs seeds
 # 1 to LAST_SEED (default: 200) on each until one fails. Exits with status 1 when a variant passes all seeds and with status 2
-# when a sed expression no longer matches the source.
-# Usage: scripts/flow_mutants.sh [LAST_SEED]
+# when a sed expression no longer matches the source. NAMES is a regular expression; only variants with such a name are built.
+# Usage: scripts/flow_mutants.sh [LAST_SEED [NAMES]]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 last_seed=${1:-200}
+names=${2:-.}
 scratch=$(mktemp -d)
 trap 'rm -rf "$scratch"' EXIT
 git archive HEAD packages/flow packages/base packages/testing | tar -x -C "$scratch"
@@ -16,15 +17,21 @@
     "resets-by-an-older-list|src/owner_search.cpp|s/const bool listIsNewer = .*/const bool listIsNewer = true;/"
     "older-configuration-accepted|src/view_exchange.cpp|s/if (configuration.version <= m_configuration.version)/if (configuration.version == m_configuration.version)/"
     "service-not-checked|src/flow_agent.cpp|s/if (head->tag.value != m_serviceDigest)/if (false)/"
-    "draining-is-eligible|src/upstream_directory.cpp|s/ && known.record.phase == upstream_phase::ready//"
+    "draining-is-eligible|src/upstream_directory.cpp|s/ && upstream.record.phase == upstream_phase::ready//"
     "search-asks-one-upstream|src/probe_dispatch.cpp|s/if (isDue(item))/if (isDue(item) \&\& due.empty())/"
     "search-waits-for-the-client|src/probe_dispatch.cpp|s/item != m_probeQueue.end() \&\& m_probeWindow.room() > 0;/false;/"
     "silence-at-a-relay-is-a-denial|src/probe_dispatch.cpp|s/isIn(result.denied, item.machine)/(inTime \&\& isIn(request->candidates, item.machine))/"
     "silence-is-claimed|src/flow_agent.cpp|s/if (isProbe \&\& (holdsFlow(state, \*head) || state.ended()))/if (isProbe)/"
     "opening-answer-is-claimed|src/flow_agent.cpp|s/if (!head->opens \&\& !head->resets/if (!head->resets/"
-    "misdirected-is-a-denial|src/entry_balancer.cpp|s/if (head.tag.kind == instruction::misdirected \&\& mayServe/if (false \&\& mayServe/"
+    "misdirected-is-a-denial|src/entry_balancer.cpp|s/if (head.tag.kind == instruction::misdirected \&\& mayServe/if (false \&\& mayServe/; s/const bool denied = .*/const bool denied = true;/"
     "eras-not-compared|src/history_cursor.cpp|s/ || revision.era != m_position->era//; s/revision < \*m_position/revision.number < m_position->number/"
     "lists-of-former-eras-kept|src/view_exchange.cpp|s/list.revision < m_upstreams.revision/list.revision.number < m_upstreams.revision.number/"
+    "former-services-not-searched|src/owner_search.cpp|s/return state.allServices \&\& (/return false \&\& (/"
+    "former-services-unknown|src/entry_balancer.cpp|s/m_services = {.*/m_services.clear();/"
+    "announced-service-ignored|src/upstream_directory.cpp|s/known != nullptr \&\& known->announcedService == .*;/false;/"
+    "opening-follows-the-table|src/entry_balancer.cpp|s/ \&\& isCopyOfOpening(head, \*route, known->second, now)) {/) {/"
+    "opening-does-not-end-a-flow|src/flow_agent.cpp|s/if (isLater)/if (false)/"
+    "later-flow-not-denied|src/flow_agent.cpp|s/if (belongsToLaterFlow(state, \*head))/if (false)/"
     "probes-are-held|src/flow_agent.cpp|s/begins \&\& mayHold \&\& holdsFlow(state, head)/begins/"
 )
 
@@ -43,6 +50,7 @@
 survivors=0
 for variant in "${variants[@]}"; do
     IFS='|' read -r name file expression <<<"$variant"
+    [[ $name =~ $names ]] || continue
     source=packages/flow/$file
     object=$(basename "$source").o
     sed "$expression" "$source" >"packages/flow/src/variant.cpp"
