Keep ended flows at the agent as long as entry instances may know them

What callers would see: packets of an open flow do not reach its upstream. An entry instance that had missed the claim of the second flow got its packets six seconds later and sent them to the former owner, for which its table keeps the flow for 60 s.

Cause: the agent there knew that the flow had ended for only 5 s after its last packet. Then it passed the packets on, and an upstream does not return packets of a flow that it held.

Change: an ended flow is kept for 65 s, like an open one, so that packets of a later flow are denied and the flow is searched. Each takes about 100 bytes.

Ruled out: a loss of the later packets (the trace shows them at the former owner).

--- a/packages/flow/src/flow_agent.cpp
+++ b/packages/flow/src/flow_agent.cpp
@@ -33,8 +33,9 @@
 // Six missed hellos.
 constexpr base::duration entryTimeout = 3s;
 constexpr base::duration expiryInterval = 1s;
-// Flows older than 60 s may be discarded.
-constexpr base::duration openLifetime = 65s;    // since the last packet
+// Flows older than 60 s may be discarded. Entry instances may send packets of a flow here for as
+// long after it has ended, and those of a later flow from the same port must be denied then.
+constexpr base::duration openLifetime = 65s;    // since the last packet; of ended flows, too
 constexpr base::duration unopenedLifetime = 5s; // since the last packet; clients stop after 1.4 s
 // Times after the first opening packet at which clients send its copies.
 constexpr std::array<base::duration, 3> retransmitTimes { 0ms, 200ms, 600ms };
@@ -491,8 +492,9 @@
             state.requestAt = {};
         }
         // A held request is released in time, and its flow may be open at the upstream then.
-        const bool expired = !m_holdQueue.holds(item.first)
-                && now - state.lastSeen > (state.open ? openLifetime : unopenedLifetime);
+        const base::duration lifetime =
+                state.open || state.ended() ? openLifetime : unopenedLifetime;
+        const bool expired = !m_holdQueue.holds(item.first) && now - state.lastSeen > lifetime;
         if (expired && state.open)
             --m_openFlows;
         return expired;
--- a/packages/flow/tests/flow_agent_test.cpp
+++ b/packages/flow/tests/flow_agent_test.cpp
@@ -178,6 +178,21 @@
     CHECK_EQUAL(0, output.sent<flow_claim>().size());
 }
 
+// Guards against open flows whose packets do not reach their upstream: an entry instance that
+// missed the claim of the later flow sends its packets here for up to a minute.
+TEST(flow_agent, DataOfALaterFlowIsDeniedLongAfterTheFormerOneHasEnded)
+{
+    openAndEndFlow();
+    const std::size_t delivered = output.toUpstream.size();
+    tickUntil(55'000);
+    packet_head later = fromClient(instruction::deliver, 100, 9001);
+    later.acknowledgement = 123'456'789;
+    receive(later, 55'010);
+
+    CHECK_EQUAL(delivered, output.toUpstream.size());
+    CHECK_EQUAL(1, output.toEntries.size());
+}
+
 // The upstream must get the copies of the client's last packets, or the client repeats them.
 TEST(flow_agent, LastPacketsOfAnEndedFlowReachItsUpstream)
 {
