Tell packets of a later flow by the client's sequence numbers

What callers would see: packets of an open flow do not reach its upstream.

Cause: it compared acknowledgements with what the upstream had sent since the opening packet, which it knows only if it saw the flow open.

Change: it compares the sequence number with the end of the client's data. An agent that knows that a flow has ended saw its finishing packet. Packets up to 19,200 bytes before that end may be repeated; any other one is of a later flow.

Evidence: RestartedAgentDeniesDataOfALaterFlow failed before and passes now.

The runs replace entry instances now (planned work, half of the changes of services): an instance leaves, and one that no agent remembers starts at its address.

Ruled out: a lost claim alone (the agent answered the probes of the later flow with claims).

--- a/packages/flow/include/oriolehold/flow/flow_agent.h
+++ b/packages/flow/include/oriolehold/flow/flow_agent.h
@@ -79,8 +79,7 @@
         base::duration held {};        // time that the running request was held
         std::uint32_t requestSequence = 0; // end of the data delivered so far; 0: none
         std::uint32_t openingSequence = 0; // of the answer to the opening packet
-        std::uint32_t upstreamEnd = 0;     // end of what the upstream sent; valid with an answer
-        bool openingAnswered = false;      // the two numbers above are known
+        std::uint32_t clientEnd = 0;       // sequence number after the client's finishing packet
         std::optional<std::uint32_t> clientSequence; // of the client's opening packet
         std::uint8_t priority = 0;                   // of the running request
         bool open = false;
--- a/packages/flow/src/flow_agent.cpp
+++ b/packages/flow/src/flow_agent.cpp
@@ -45,7 +45,7 @@
 // A request is held for at most this fraction of its timeout. After half of the timeout, another
 // upstream may serve its client better.
 constexpr double maxHoldFraction = 0.45;
-// Data that an upstream sends before the client has acknowledged any: 16 packets of 1,200 bytes.
+// Data that an end sends before the other one has acknowledged any: 16 packets of 1,200 bytes.
 constexpr std::uint32_t maxBytesInFlight = 19'200;
 // A request without an answer counts as running for at most this time.
 constexpr base::duration requestLifetime = 3s;
@@ -120,7 +120,10 @@
     }
     if (isProbe && (holdsFlow(state, *head) || state.ended()))
         m_output.sendMessage(entry.address, flow_claim { { key } });
-    state.finishedByClient = state.finishedByClient || head->finishes;
+    if (head->finishes) {
+        state.finishedByClient = true;
+        state.clientEnd = head->sequence + head->payloadSize + 1;
+    }
     closeIfEnded(state);
     // A bare acknowledgement of a flow that the upstream holds is not answered.
     if (isProbe && added && head->payloadSize > 0)
@@ -149,10 +152,8 @@
 
 bool flow_agent::belongsToLaterFlow(const flow_state &state, const packet_head &head)
 {
-    // Sequence numbers wrap around.
-    return state.ended() && state.openingAnswered && head.acknowledges && !head.opens
-            && head.acknowledgement - state.openingSequence
-            > state.upstreamEnd - state.openingSequence;
+    // The last packets of the former flow may be repeated. Sequence numbers wrap around.
+    return state.ended() && !head.isOpening() && state.clientEnd - head.sequence > maxBytesInFlight;
 }
 
 void flow_agent::denyLaterFlow(const flow_key &key, const base::endpoint &entry,
@@ -277,16 +278,8 @@
     flow_state &state = m_flows[key];
     state.lastSeen = now;
     state.answered = true;
-    // Opening and finishing packets take one sequence number each.
-    const std::uint32_t end =
-            head->sequence + head->payloadSize + (head->opens ? 1 : 0) + (head->finishes ? 1 : 0);
-    if (head->opens) {
+    if (head->opens)
         state.openingSequence = head->sequence;
-        state.openingAnswered = true;
-        state.upstreamEnd = end;
-    } else if (static_cast<std::int32_t>(end - state.upstreamEnd) > 0) {
-        state.upstreamEnd = end;
-    }
     state.finishedByUpstream = state.finishedByUpstream || head->finishes;
     closeIfEnded(state);
     if (!head->opens && !head->resets && !state.open && !state.ended())
--- a/packages/flow/tests/deployment_simulation.h
+++ b/packages/flow/tests/deployment_simulation.h
@@ -87,6 +87,7 @@
         int foreignEntries = 0; // written by others than the upstreams
         int portsUsedAgain = 0;
         int serviceChanges = 0; // of routes
+        int replacedEntries = 0;
         std::array<int, troubleKinds> troubles {};
     };
     // Valid after run().
@@ -206,6 +207,9 @@
     void writeAgain();
     void changeServicesAtTimes();
     void changeServices();
+    // Planned work: an entry instance leaves, and another one starts at its address when the agents
+    // have forgotten it.
+    void replaceEntry(std::size_t index);
     void slowStore();
     void writeForeignEntriesAtTimes();
     void writeForeignEntries();
--- a/packages/flow/tests/deployment_troubles.cpp
+++ b/packages/flow/tests/deployment_troubles.cpp
@@ -39,6 +39,9 @@
 constexpr std::uint32_t firstUnusedMachine = 500;
 constexpr std::uint32_t unusedMachines = 400;
 
+// Agents forget an entry instance without hellos within this time.
+constexpr base::duration forgottenAfter = 4s;
+
 bool affectsAll(trouble kind)
 {
     return kind == trouble::storeOutage || kind == trouble::slowStore
@@ -227,6 +230,27 @@
     ++m_counts.serviceChanges;
     ++m_configuration.version;
     writeConfiguration();
+    if (!m_restarting && m_habitRandom.below(2) == 0)
+        replaceEntry(m_habitRandom.below(m_entries.size()));
+}
+
+void deployment_simulation::replaceEntry(std::size_t index)
+{
+    entry &item = *m_entries[index];
+    if (!item.running || item.stopping)
+        return;
+    ++m_counts.replacedEntries;
+    item.stopping = true;
+    schedule(stopTime, [this, index, &item, incarnation = item.incarnation] {
+        if (item.incarnation != incarnation)
+            return;
+        stopEntry(index);
+        schedule(randomDuration(m_habitRandom, forgottenAfter, forgottenAfter * 2),
+                 [this, index, &item] {
+                     if (!item.running)
+                         startEntry(index);
+                 });
+    });
 }
 
 void deployment_simulation::moveClients()
--- a/packages/flow/tests/flow_agent_test.cpp
+++ b/packages/flow/tests/flow_agent_test.cpp
@@ -178,6 +178,23 @@
     CHECK_EQUAL(0, output.sent<flow_claim>().size());
 }
 
+// The same for a restarted agent, which has not seen the answer to the opening packet.
+TEST(flow_agent, RestartedAgentDeniesDataOfALaterFlow)
+{
+    answer(fromUpstream(100), 0);
+    packet_head last = fromClient(instruction::deliver, 0, 101);
+    last.finishes = true;
+    receive(last, 10);
+    last = fromUpstream();
+    last.finishes = true;
+    answer(last, 12);
+    const std::size_t delivered = output.toUpstream.size();
+    receive(fromClient(instruction::deliver, 100, 900'001), 5000);
+
+    CHECK_EQUAL(delivered, output.toUpstream.size());
+    CHECK_EQUAL(1, output.toEntries.size());
+}
+
 // Guards against open flows whose packets do not reach their upstream: an entry instance that
 // missed the claim of the later flow sends its packets here for up to a minute.
 TEST(flow_agent, DataOfALaterFlowIsDeniedLongAfterTheFormerOneHasEnded)
@@ -200,7 +217,7 @@
     const std::size_t delivered = output.toUpstream.size();
     packet_head last = fromClient(instruction::deliver, 0, 101);
     last.finishes = true;
-    last.acknowledgement = 50'102; // opening packet, 100 bytes and the finishing packet
+    last.acknowledgement = 50'102;
     receive(last, 300);
 
     CHECK_EQUAL(delivered + 1, output.toUpstream.size());
--- a/packages/flow/tests/flow_random_test.cpp
+++ b/packages/flow/tests/flow_random_test.cpp
@@ -198,9 +198,11 @@
         simulation.run(std::chrono::seconds { 30 });
         total.portsUsedAgain += simulation.counts().portsUsedAgain;
         total.serviceChanges += simulation.counts().serviceChanges;
+        total.replacedEntries += simulation.counts().replacedEntries;
     }
     CHECK_TRUE(total.portsUsedAgain > runs * 50);
     CHECK_TRUE(total.serviceChanges > runs);
+    CHECK_TRUE(total.replacedEntries >= runs);
 }
 
 // The checks of a restored store are only meaningful if the runs restore it, with traffic.
