Keep the table of owners small

Change: the time is kept in seconds. Result: all tests of the package pass; memory was not measured again.

--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -104,10 +104,11 @@
         // Of the upstream's service when the flow was placed or claimed. The address may serve
         // another service since then.
         std::uint32_t serviceDigest = 0;
-        // Sequence number of the opening packet, and when its first copy was placed here; the epoch
-        // if only other instances placed flows of these addresses and ports.
+        // Sequence number of the opening packet, and when its first copy was placed here, in
+        // seconds since the Unix epoch; 0: only other instances placed flows of these addresses and
+        // ports.
         std::uint32_t openingSequence = 0;
-        base::time_point placedAt {};
+        std::uint32_t placedAt = 0;
         std::uint8_t refusals = 0; // of the opening packet, and returns without an answer
         // An upstream that has not answered the opening packet in time may still accept it.
         bool mayBeAccepted = false;
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -29,9 +29,9 @@
 // 1.4 s.
 constexpr std::uint32_t ownerLifetime = 60;      // seconds since the last packet
 constexpr std::uint32_t unconfirmedLifetime = 5; // seconds since the last packet
-// Copies of an opening packet arrive within this time: clients stop after 1.4 s, and packets may be
-// late.
-constexpr base::duration openingTime = 3s;
+// Copies of an opening packet arrive within this time, in seconds: clients stop after 1.4 s, and
+// packets may be late.
+constexpr std::uint32_t openingTime = 3;
 constexpr std::uint8_t maxRefusals = 3;           // of one opening packet
 constexpr base::duration refusalAvoidance = 50ms; // about the time in which a queue empties
 // Agents that forward the summary of a read. Two may be lost at a time.
@@ -125,7 +125,7 @@
 bool entry_balancer::isCopyOfOpening(const packet_head &head, const flow_route &route,
                                      const owner &item, base::time_point now) const
 {
-    if (now - item.placedAt < openingTime)
+    if (base::unixSeconds(now) - item.placedAt < openingTime)
         return item.openingSequence == head.sequence;
     // Another instance may have placed a later flow, whose sequence number is not known here.
     const known_upstream *known = m_directory.find(item.machine);
@@ -183,7 +183,7 @@
     item.serviceDigest = serviceDigest(chosen->record.service);
     if (!again) {
         item.openingSequence = head.sequence;
-        item.placedAt = now;
+        item.placedAt = base::unixSeconds(now);
     }
     item.confirmed = false;
     forward(item, key.service, packet);
