Ask each of three runs for traffic and faults again

Cause: had replaced five checks of seed 1 by checks of the total of three seeds, because the seed drew no rehash there. A total may hide a run with little traffic, so the replacement was weaker for a single run. Change: the five checks stand as on, for each of the seeds 1 to 3.

--- a/packages/flow/tests/flow_random_test.cpp
+++ b/packages/flow/tests/flow_random_test.cpp
@@ -105,23 +105,16 @@
 // The checks of a run are only meaningful if it has traffic, faults and resets.
 TEST(flow_random, RunsIncludeTrafficAndFaults)
 {
-    constexpr int runs = 3; // one run may happen to draw no rehash or no reset
-    flow_simulation::statistics total;
-    for (std::uint64_t seed = 1; seed <= runs; ++seed) {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
         flow_simulation simulation(seed);
         simulation.run(std::chrono::seconds { 30 });
-        const flow_simulation::statistics &counts = simulation.counts();
-        total.flowsOpened += counts.flowsOpened;
-        total.answers += counts.answers;
-        total.resets += counts.resets;
-        total.faults += counts.faults;
-        total.rehashes += counts.rehashes;
+
+        CHECK_TRUE(simulation.counts().flowsOpened > 100);
+        CHECK_TRUE(simulation.counts().answers > 1000);
+        CHECK_TRUE(simulation.counts().resets > 0);
+        CHECK_TRUE(simulation.counts().faults > 5);
+        CHECK_TRUE(simulation.counts().rehashes > 0);
     }
-    CHECK_TRUE(total.flowsOpened > runs * 100);
-    CHECK_TRUE(total.answers > runs * 1000);
-    CHECK_TRUE(total.resets >= runs);
-    CHECK_TRUE(total.faults > runs * 5);
-    CHECK_TRUE(total.rehashes >= runs);
 }
 
 // Small deployments do not show searches that need several packets, or troubles of single machines.
