Share one agent fixture among the tests of the agent

The cases, their times and their limits are unchanged. The test of refusals under overload uses an agent with the setting as its fixture, in a group of its own.

--- a/packages/flow/tests/flow_agent_test.cpp
+++ b/packages/flow/tests/flow_agent_test.cpp
@@ -1,123 +1,85 @@
-#include "oriolehold/flow/flow_agent.h"
-
-#include "flow_fakes.h"
+#include "flow_agent_fixture.h"
 
 #include <limits>
 
-#include <CppUTest/TestHarness.h>
-
 using namespace oriolehold;
 using namespace oriolehold::flow;
-using instruction = packet_tag::instruction;
 
 namespace {
 
-constexpr base::endpoint client { 0x64400007, 40001 };
-constexpr base::endpoint service { 0xc6120001, 443 };
-constexpr base::endpoint entry { 50, 7000 };
-constexpr base::endpoint otherEntry { 51, 7000 };
-
-} // namespace
-
-TEST_GROUP(flow_agent)
+struct agent_fixture : public flow_agent_fixture
 {
-    fake_codec codec;
-    fake_document_codec documents;
-    recording_agent_output output;
-    recording_observer observer;
-    flow_agent agent { { 3, "orders" }, codec, documents, output, observer };
-
-    packet_head fromClient(instruction kind = instruction::deliver, std::uint16_t size = 0,
-                           std::uint32_t sequence = 100) const
+    static packet_head finishing(packet_head head)
     {
-        packet_head head;
-        head.source = client;
-        head.destination = service;
-        head.acknowledges = true;
-        head.tag = { kind, serviceDigest("orders"), 1 };
-        head.payloadSize = size;
-        head.sequence = sequence;
+        head.finishes = true;
         return head;
     }
-    packet_head opening() const
+    static packet_head acknowledging(std::uint32_t sequence, packet_head head)
     {
-        packet_head head = fromClient();
-        head.opens = true;
-        head.acknowledges = false;
+        head.acknowledgement = sequence;
         return head;
     }
-    packet_head fromUpstream(std::uint16_t size = 0) const
+    static packet_head withTagOf(std::string_view serviceName, packet_head head)
     {
-        packet_head head;
-        head.source = service;
-        head.destination = client;
-        head.acknowledges = true;
-        head.payloadSize = size;
+        head.tag.value = serviceDigest(serviceName);
         return head;
     }
-    void receive(const packet_head &head, std::int64_t at, const base::endpoint &from = entry)
+    // The upstream takes a flow and sends its first packet.
+    void openFlow()
     {
-        agent.receiveFromEntry(from, fake_codec::encode(head), atMilliseconds(at));
-    }
-    void answer(const packet_head &head, std::int64_t at)
-    {
-        agent.receiveFromUpstream(fake_codec::encode(head), atMilliseconds(at));
+        receive(opening(), 0);
+        answer(fromUpstream(), 1);
     }
-    // Calls tick() every 40 ms.
-    void tickUntil(std::int64_t last)
+    // Opens a flow, answers 100 bytes and ends it from both sides.
+    void openAndEndFlow()
     {
-        for (std::int64_t at = 40; at <= last; at += 40)
-            agent.tick(atMilliseconds(at));
+        receive(opening(), 0);
+        accept(1, 50'000);
+        packet_head head = finishing(fromUpstream(100));
+        head.sequence = 50'001;
+        answer(head, 10);
+        receive(lastPacket(), 20);
     }
-    // The upstream returns the last packet that it received.
-    void returnLast(std::int64_t at)
+    // The last packet of the client on the flow of openAndEndFlow().
+    static packet_head lastPacket()
     {
-        packet_head head = output.toUpstream.back();
-        head.returned = true;
-        answer(head, at);
+        return acknowledging(50'102, finishing(fromClient(instruction::deliver, 0, 101)));
     }
-    void sendHello(std::uint64_t bootId = 1, std::uint32_t slots = 2)
+    // Data of a flow that the client opened later from the same port, at another upstream.
+    static packet_head dataOfLaterFlow(instruction kind = instruction::deliver)
     {
-        agent.receiveMessage(entry.address, entry_hello { bootId, "zone-a", slots },
-                             atMilliseconds(0));
+        return acknowledging(123'456'789, fromClient(kind, 100, 9001));
     }
-    // Opens a flow, answers 100 bytes and ends it from both sides.
-    void openAndEndFlow()
+    // The upstream accepts a flow with the sequence number 5000; another entry instance probes for
+    // its owner by a packet that acknowledges the given number.
+    void probeAcceptedFlow(std::uint32_t acknowledged)
     {
+        sendHello();
         receive(opening(), 0);
-        packet_head head = fromUpstream();
-        head.opens = true;
-        head.sequence = 50'000;
-        answer(head, 1);
-        head = fromUpstream(100);
-        head.finishes = true;
-        head.sequence = 50'001;
-        answer(head, 10);
-        head = fromClient(instruction::deliver, 0, 101);
-        head.acknowledgement = 50'102;
-        head.finishes = true;
-        receive(head, 20);
+        accept(1, 5000);
+        receive(acknowledging(acknowledged, fromClient(instruction::probe, 200)), 2, otherEntry);
     }
-    // Opens a flow and sends its request; each flow has its own client port. copy is the number of
-    // earlier copies of its opening packet.
+    // Opens a flow and sends its request. copy is the number of earlier copies of its opening
+    // packet.
     void request(std::uint16_t port, std::int64_t at, std::uint8_t priority = 1,
                  std::uint32_t copy = 0)
     {
-        packet_head head = opening();
-        head.source.port = port;
-        head.acknowledgement = copy;
-        receive(head, at);
-        head = fromUpstream();
-        head.destination.port = port;
-        head.opens = true;
-        answer(head, at);
-        head = fromClient(instruction::deliver, 200);
-        head.source.port = port;
+        receive(opening(port, copy), at);
+        accept(at, 0, port);
+        packet_head head = fromClient(instruction::deliver, 200, 100, port);
         head.tag.priority = priority;
-        head.tag.latencyObjective = std::chrono::milliseconds { 100 };
-        head.tag.timeout = std::chrono::milliseconds { 2000 };
+        head.tag.latencyObjective = 100ms;
+        head.tag.timeout = 2000ms;
         receive(head, at);
     }
+    // Sends requests on as many flows, one per millisecond, to an upstream with two slots. The
+    // agent passes on three of them.
+    void sendRequests(std::uint16_t count)
+    {
+        sendHello(1, 2);
+        for (std::uint16_t port = 1; port <= count; ++port)
+            request(port, port);
+    }
     std::vector<std::uint16_t> portsOfRequests() const
     {
         std::vector<std::uint16_t> ports;
@@ -130,21 +92,17 @@
     // The client closes or resets the flow of a request.
     void endFlow(std::uint16_t port, std::int64_t at, bool resets)
     {
-        packet_head head = fromClient(instruction::deliver, 0, 300);
-        head.source.port = port;
+        packet_head head = fromClient(instruction::deliver, 0, 300, port);
         head.resets = resets;
         head.finishes = !resets;
         receive(head, at);
     }
-    void answerRequest(std::uint16_t port, std::int64_t at)
-    {
-        packet_head head = fromUpstream(500);
-        head.destination.port = port;
-        answer(head, at);
-        agent.tick(atMilliseconds(at));
-    }
 };
 
+} // namespace
+
+TEST_GROUP_BASE(flow_agent, agent_fixture) {};
+
 // Guards against open flows that no entry instance knows: the agent took the opening packet for one
 // of the former flow, which had ended, and did not claim the new one.
 TEST(flow_agent, FlowFromAPortThatWasUsedBeforeIsClaimed)
@@ -156,10 +114,7 @@
     packet_head head = opening();
     head.sequence = 9000;
     receive(head, 5000);
-    head = fromUpstream();
-    head.opens = true;
-    head.sequence = 77000;
-    answer(head, 5001);
+    accept(5001, 77000);
     answer(fromUpstream(100), 5010);
 
     CHECK_EQUAL(1, agent.openFlows());
@@ -174,15 +129,11 @@
     openAndEndFlow();
     const std::size_t delivered = output.toUpstream.size();
     output.messages.clear();
-    packet_head later = fromClient(instruction::deliver, 100, 9001);
-    later.acknowledgement = 123'456'789;
-    receive(later, 5000);
-    later.tag.kind = instruction::probe;
-    receive(later, 5001);
+    receive(dataOfLaterFlow(), 5000);
+    receive(dataOfLaterFlow(instruction::probe), 5001);
 
     CHECK_EQUAL(delivered, output.toUpstream.size());
-    CHECK_EQUAL(1, output.toEntries.size());
-    CHECK_TRUE(output.toEntries.front().head.tag.kind == instruction::absent);
+    CHECK_TRUE(onlyReturned(instruction::absent));
     CHECK_EQUAL(1, output.sent<flow_denial>().size());
     CHECK_EQUAL(0, output.sent<flow_claim>().size());
 }
@@ -191,12 +142,8 @@
 TEST(flow_agent, RestartedAgentDeniesDataOfALaterFlow)
 {
     answer(fromUpstream(100), 0);
-    packet_head last = fromClient(instruction::deliver, 0, 101);
-    last.finishes = true;
-    receive(last, 10);
-    last = fromUpstream();
-    last.finishes = true;
-    answer(last, 12);
+    receive(finishing(fromClient(instruction::deliver, 0, 101)), 10);
+    answer(finishing(fromUpstream()), 12);
     const std::size_t delivered = output.toUpstream.size();
     receive(fromClient(instruction::deliver, 100, 900'001), 5000);
 
@@ -211,9 +158,7 @@
     openAndEndFlow();
     const std::size_t delivered = output.toUpstream.size();
     tickUntil(55'000);
-    packet_head later = fromClient(instruction::deliver, 100, 9001);
-    later.acknowledgement = 123'456'789;
-    receive(later, 55'010);
+    receive(dataOfLaterFlow(), 55'010);
 
     CHECK_EQUAL(delivered, output.toUpstream.size());
     CHECK_EQUAL(1, output.toEntries.size());
@@ -224,10 +169,7 @@
 {
     openAndEndFlow();
     const std::size_t delivered = output.toUpstream.size();
-    packet_head last = fromClient(instruction::deliver, 0, 101);
-    last.finishes = true;
-    last.acknowledgement = 50'102;
-    receive(last, 300);
+    receive(lastPacket(), 300);
 
     CHECK_EQUAL(delivered + 1, output.toUpstream.size());
 }
@@ -240,7 +182,7 @@
     CHECK_EQUAL(serviceDigest("orders"), output.sent<service_announcement>().at(0).serviceDigest);
     for (std::int64_t at = 0; at < 10'000; at += 500) {
         agent.receiveMessage(entry.address, entry_hello { 1, "zone-a", 2 }, atMilliseconds(at));
-        agent.tick(atMilliseconds(at));
+        tick(at);
     }
 
     CHECK_TRUE(output.sent<service_announcement>().size() >= 4);
@@ -250,33 +192,25 @@
 // An upstream at a reused address must not get packets for the service of its predecessor.
 TEST(flow_agent, PacketForAnotherServiceDoesNotReachTheUpstream)
 {
-    packet_head head = opening();
-    head.tag.value = serviceDigest("catalog");
-    receive(head, 0);
+    receive(withTagOf("catalog", opening()), 0);
 
     CHECK_EQUAL(0, output.toUpstream.size());
-    CHECK_EQUAL(1, output.toEntries.size());
-    CHECK_TRUE(output.toEntries[0].head.tag.kind == instruction::refused);
+    CHECK_TRUE(onlyReturned(instruction::refused));
 }
 
 // The entry instance must not treat it as a denial: the upstream did not get the packet.
 TEST(flow_agent, MisdirectedPacketIsReturnedWithTheServiceOfTheAgent)
 {
-    packet_head head = fromClient();
-    head.tag.value = serviceDigest("catalog");
-    receive(head, 0);
+    receive(withTagOf("catalog", fromClient()), 0);
 
-    CHECK_EQUAL(1, output.toEntries.size());
-    CHECK_TRUE(output.toEntries[0].head.tag.kind == instruction::misdirected);
+    CHECK_TRUE(onlyReturned(instruction::misdirected));
     CHECK_EQUAL(serviceDigest("orders"), output.toEntries[0].head.tag.value);
 }
 
 TEST(flow_agent, MisdirectedProbeIsNotDeniedByTheUpstream)
 {
     sendHello();
-    packet_head head = fromClient(instruction::probe);
-    head.tag.value = serviceDigest("catalog");
-    receive(head, 0);
+    receive(withTagOf("catalog", fromClient(instruction::probe)), 0);
 
     CHECK_TRUE(output.sent<flow_denial>().at(0).misdirected);
     CHECK_EQUAL(serviceDigest("orders"), output.sent<flow_denial>().at(0).serviceDigest);
@@ -299,8 +233,7 @@
     receive(fromClient(), 0);
     returnLast(1);
 
-    CHECK_EQUAL(1, output.toEntries.size());
-    CHECK_TRUE(output.toEntries[0].head.tag.kind == instruction::absent);
+    CHECK_TRUE(onlyReturned(instruction::absent));
 }
 
 TEST(flow_agent, ProbeOfAnAbsentFlowIsDenied)
@@ -318,10 +251,7 @@
 {
     sendHello();
     receive(fromClient(instruction::probe), 0);
-    packet_head other = fromUpstream();
-    other.destination.port = 2;
-    other.opens = true;
-    answer(other, 20);
+    accept(20, 0, 2);
     tickUntil(4000);
     CHECK_EQUAL(0, output.sent<flow_claim>().size());
     sendHello(2);
@@ -336,11 +266,8 @@
 TEST(flow_agent, UnansweredAcknowledgementsDoNotMakeTheUpstreamUnresponsive)
 {
     sendHello();
-    for (std::uint16_t port = 1; port <= 3; ++port) {
-        packet_head head = fromClient(instruction::probe);
-        head.source.port = port;
-        receive(head, 0);
-    }
+    for (std::uint16_t port = 1; port <= 3; ++port)
+        receive(fromClient(instruction::probe, 0, 100, port), 0);
     tickUntil(2000);
 
     CHECK_TRUE(output.sent<load_report>().back().responsive);
@@ -350,11 +277,8 @@
 TEST(flow_agent, SilentUpstreamThatGetsProbesIsReportedAsUnresponsive)
 {
     sendHello();
-    for (std::uint16_t port = 1; port <= 2; ++port) {
-        packet_head head = fromClient(instruction::probe, 200);
-        head.source.port = port;
-        receive(head, 0);
-    }
+    for (std::uint16_t port = 1; port <= 2; ++port)
+        receive(fromClient(instruction::probe, 200, 100, port), 0);
     tickUntil(2000);
 
     CHECK_FALSE(output.sent<load_report>().back().responsive);
@@ -365,7 +289,7 @@
 {
     sendHello();
     receive(fromClient(instruction::probe), 0);
-    agent.tick(atMilliseconds(40));
+    tick(40);
 
     CHECK_EQUAL(0, output.sent<flow_claim>().size());
 }
@@ -375,7 +299,7 @@
     sendHello();
     receive(fromClient(instruction::probe), 0);
     returnLast(1);
-    agent.tick(atMilliseconds(40));
+    tick(40);
 
     CHECK_EQUAL(0, output.sent<flow_claim>().size());
 }
@@ -383,8 +307,7 @@
 TEST(flow_agent, OpenedFlowIsClaimedOnce)
 {
     sendHello();
-    receive(opening(), 0);
-    answer(fromUpstream(), 1);
+    openFlow();
     answer(fromUpstream(), 2);
 
     CHECK_EQUAL(1, output.sent<flow_claim>().size());
@@ -394,9 +317,7 @@
 {
     sendHello();
     receive(opening(), 0);
-    packet_head head = fromUpstream();
-    head.opens = true;
-    answer(head, 1);
+    accept(1);
 
     CHECK_EQUAL(0, output.sent<flow_claim>().size());
     CHECK_EQUAL(1, output.toClients.size());
@@ -408,13 +329,9 @@
     sendHello(1);
     receive(opening(), 0);
     answer(fromUpstream(100), 1);
-    packet_head last = fromClient();
-    last.finishes = true;
-    receive(last, 2);
+    receive(finishing(fromClient()), 2);
     CHECK_EQUAL(1, agent.openFlows());
-    last = fromUpstream();
-    last.finishes = true;
-    answer(last, 3);
+    answer(finishing(fromUpstream()), 3);
     answer(fromUpstream(), 4);
     CHECK_EQUAL(0, agent.openFlows());
     output.messages.clear();
@@ -427,8 +344,7 @@
 {
     for (int repetition = 0; repetition < 3; ++repetition)
         sendHello(1);
-    receive(opening(), 0);
-    answer(fromUpstream(), 1);
+    openFlow();
     output.messages.clear();
     sendHello(1);
     CHECK_EQUAL(0, output.sent<flow_claim>().size());
@@ -440,8 +356,7 @@
 // The claims that answer a first hello may be lost, but must not be repeated forever.
 TEST(flow_agent, ClaimsOfAllFlowsAreRepeatedWithTheNextTwoHellosOnly)
 {
-    receive(opening(), 0);
-    answer(fromUpstream(), 1);
+    openFlow();
     for (int hello = 0; hello < 6; ++hello)
         sendHello(1);
 
@@ -453,9 +368,9 @@
 TEST(flow_agent, UnansweredOpeningPacketIsReturned)
 {
     receive(opening(), 0);
-    agent.tick(atMilliseconds(59));
+    tick(59);
     CHECK_EQUAL(0, output.toEntries.size());
-    agent.tick(atMilliseconds(61));
+    tick(61);
 
     CHECK_EQUAL(1, output.toEntries.size());
     CHECK_EQUAL(entry.address, output.toEntries[0].machine);
@@ -465,10 +380,8 @@
 TEST(flow_agent, AnsweredOpeningPacketIsNotReturned)
 {
     receive(opening(), 0);
-    packet_head head = fromUpstream();
-    head.opens = true;
-    answer(head, 1);
-    agent.tick(atMilliseconds(61));
+    accept(1);
+    tick(61);
 
     CHECK_EQUAL(0, output.toEntries.size());
 }
@@ -476,12 +389,9 @@
 TEST(flow_agent, SilentUpstreamIsReportedAsUnresponsive)
 {
     sendHello();
-    for (std::uint16_t port = 1; port <= 2; ++port) {
-        packet_head head = opening();
-        head.source.port = port;
-        receive(head, 0);
-    }
-    agent.tick(atMilliseconds(61));
+    for (std::uint16_t port = 1; port <= 2; ++port)
+        receive(opening(port), 0);
+    tick(61);
 
     CHECK_FALSE(output.sent<load_report>().back().responsive);
 }
@@ -489,8 +399,7 @@
 // A retransmission after the answer would count as running for seconds and keep new flows away.
 TEST(flow_agent, RetransmittedRequestIsNotCountedAgain)
 {
-    receive(opening(), 0);
-    answer(fromUpstream(), 1);
+    openFlow();
     receive(fromClient(instruction::deliver, 200), 2);
     CHECK_EQUAL(1, agent.load().running());
     answer(fromUpstream(500), 15);
@@ -501,9 +410,7 @@
 
 TEST(flow_agent, RequestsBeyondTheSlotsAreHeld)
 {
-    sendHello(1, 2);
-    for (std::uint16_t port = 1; port <= 5; ++port)
-        request(port, port);
+    sendRequests(5);
 
     CHECK_EQUAL(3, portsOfRequests().size());
     CHECK_EQUAL(2, agent.counters().held);
@@ -511,9 +418,7 @@
 
 TEST(flow_agent, NewestHeldRequestIsReleasedFirst)
 {
-    sendHello(1, 2);
-    for (std::uint16_t port = 1; port <= 5; ++port)
-        request(port, port);
+    sendRequests(5);
     answerRequest(1, 10);
 
     CHECK_EQUAL(4, portsOfRequests().size());
@@ -545,9 +450,7 @@
 // The client has waited since the first copy of its opening packet.
 TEST(flow_agent, RequestAfterARetransmittedOpeningPacketCountsAsLate)
 {
-    sendHello(1, 2);
-    for (std::uint16_t port = 1; port <= 4; ++port)
-        request(port, port);
+    sendRequests(4);
     request(5, 10, 1, 1);
     answerRequest(1, 20);
 
@@ -557,24 +460,18 @@
 // The upstream must be able to serve or refuse a held request before its client times out.
 TEST(flow_agent, HeldRequestIsReleasedBeforeHalfOfItsTimeout)
 {
-    sendHello(1, 2);
-    for (std::uint16_t port = 1; port <= 4; ++port)
-        request(port, port);
-    agent.tick(atMilliseconds(850));
+    sendRequests(4);
+    tick(850);
     CHECK_EQUAL(3, portsOfRequests().size());
-    agent.tick(atMilliseconds(950));
+    tick(950);
 
     CHECK_EQUAL(4, portsOfRequests().size());
 }
 
 TEST(flow_agent, HeldRequestThatIsRetransmittedIsSentOnce)
 {
-    sendHello(1, 2);
-    for (std::uint16_t port = 1; port <= 4; ++port)
-        request(port, port);
-    packet_head copy = fromClient(instruction::deliver, 200);
-    copy.source.port = 4;
-    receive(copy, 200);
+    sendRequests(4);
+    receive(fromClient(instruction::deliver, 200, 100, 4), 200);
     answerRequest(1, 210);
 
     CHECK_EQUAL(4, portsOfRequests().size());
@@ -583,9 +480,7 @@
 // Other upstreams would get the packets of the flow meanwhile.
 TEST(flow_agent, ProbeIsNotHeldWhileTheUpstreamIsBusy)
 {
-    sendHello(1, 2);
-    for (std::uint16_t port = 1; port <= 3; ++port)
-        request(port, port);
+    sendRequests(3);
     receive(fromClient(instruction::probe, 200), 10);
 
     CHECK_EQUAL(client.port, portsOfRequests().back());
@@ -595,14 +490,12 @@
 TEST(flow_agent, ReturnedProbeOfAClaimedFlowGoesBackToItsEntryInstance)
 {
     sendHello();
-    receive(opening(), 0);
-    answer(fromUpstream(), 1);
+    openFlow();
     receive(fromClient(instruction::probe, 200), 1000);
     returnLast(1001);
 
     CHECK_EQUAL(1, output.sent<flow_denial>().size());
-    CHECK_EQUAL(1, output.toEntries.size());
-    CHECK_TRUE(output.toEntries[0].head.tag.kind == instruction::absent);
+    CHECK_TRUE(onlyReturned(instruction::absent));
     CHECK_EQUAL(200, output.toEntries[0].head.payloadSize);
     output.messages.clear();
     sendHello(2);
@@ -612,13 +505,9 @@
 // The packet would reach other upstreams as a probe, and its own one only seconds later.
 TEST(flow_agent, ProbeOfAnAnsweredFlowIsNotHeld)
 {
-    sendHello(1, 2);
-    for (std::uint16_t port = 1; port <= 3; ++port)
-        request(port, port);
+    sendRequests(3);
     receive(opening(), 10);
-    packet_head head = fromUpstream();
-    head.opens = true;
-    answer(head, 10);
+    accept(10);
     receive(fromClient(instruction::probe, 200), 11);
 
     CHECK_EQUAL(4, portsOfRequests().size());
@@ -628,12 +517,8 @@
 // The upstream of the flow must get its packets in order, and no later than other upstreams.
 TEST(flow_agent, ProbeReleasesTheHeldPacketsOfItsFlow)
 {
-    sendHello(1, 2);
-    for (std::uint16_t port = 1; port <= 5; ++port)
-        request(port, port);
-    packet_head probe = fromClient(instruction::probe, 200, 300);
-    probe.source.port = 4;
-    receive(probe, 10);
+    sendRequests(5);
+    receive(fromClient(instruction::probe, 200, 300, 4), 10);
 
     CHECK_EQUAL(5, portsOfRequests().size());
     const std::size_t last = output.toUpstream.size() - 1;
@@ -651,12 +536,10 @@
 TEST(flow_agent, RefusedCopyOfAnOpeningPacketKeepsTheOpenFlow)
 {
     sendHello();
-    receive(opening(), 0);
-    answer(fromUpstream(), 1);
+    openFlow();
     receive(opening(), 200, otherEntry);
     returnLast(201);
-    CHECK_EQUAL(1, output.toEntries.size());
-    CHECK_TRUE(output.toEntries[0].head.tag.kind == instruction::refused);
+    CHECK_TRUE(onlyReturned(instruction::refused));
     CHECK_EQUAL(1, agent.openFlows());
     output.messages.clear();
     sendHello(2);
@@ -667,12 +550,8 @@
 // The first answer of the upstream may come later than the refused copy.
 TEST(flow_agent, RefusedCopyOfAnOpeningPacketKeepsTheHeldRequest)
 {
-    sendHello(1, 2);
-    for (std::uint16_t port = 1; port <= 4; ++port)
-        request(port, port);
-    packet_head copy = opening();
-    copy.source.port = 4;
-    receive(copy, 200);
+    sendRequests(4);
+    receive(opening(4), 200);
     returnLast(201);
     answerRequest(1, 210);
 
@@ -684,9 +563,7 @@
 TEST(flow_agent, RefusedCopyOfAnOpeningPacketKeepsTheRunningRequest)
 {
     request(1, 0);
-    packet_head copy = opening();
-    copy.source.port = 1;
-    receive(copy, 200);
+    receive(opening(1), 200);
     returnLast(201);
 
     CHECK_EQUAL(1, agent.load().running());
@@ -695,20 +572,16 @@
 // A request may be held for longer than an unopened flow lives without a packet of its client.
 TEST(flow_agent, FlowWithAHeldRequestDoesNotExpire)
 {
-    sendHello(1, 2);
-    for (std::uint16_t port = 1; port <= 3; ++port)
-        request(port, port);
+    sendRequests(3);
     receive(opening(), 10);
-    packet_head head = fromUpstream();
-    head.opens = true;
-    answer(head, 10);
-    head = fromClient(instruction::deliver, 200);
-    head.tag.timeout = std::chrono::milliseconds { 30'000 };
+    accept(10);
+    packet_head head = fromClient(instruction::deliver, 200);
+    head.tag.timeout = 30'000ms;
     receive(head, 10);
-    agent.tick(atMilliseconds(2000));
+    tick(2000);
     CHECK_EQUAL(3, portsOfRequests().size());
-    agent.tick(atMilliseconds(5500));
-    agent.tick(atMilliseconds(5501));
+    tick(5500);
+    tick(5501);
 
     CHECK_EQUAL(client.port, portsOfRequests().back());
 }
@@ -717,22 +590,16 @@
 TEST(flow_agent, StalledAgentDoesNotCountUnreadAnswersAsSilence)
 {
     sendHello();
-    for (std::uint16_t port = 1; port <= 2; ++port) {
-        packet_head head = opening();
-        head.source.port = port;
-        receive(head, 0);
-    }
-    agent.tick(atMilliseconds(0));
-    agent.tick(atMilliseconds(500));
+    for (std::uint16_t port = 1; port <= 2; ++port)
+        receive(opening(port), 0);
+    tick(0);
+    tick(500);
     CHECK_EQUAL(0, output.toEntries.size());
     CHECK_TRUE(output.sent<load_report>().back().responsive);
-    packet_head reply = fromUpstream();
-    reply.opens = true;
-    reply.destination.port = 1;
-    answer(reply, 501);
-    agent.tick(atMilliseconds(559));
+    accept(501, 0, 1);
+    tick(559);
     CHECK_EQUAL(0, output.toEntries.size());
-    agent.tick(atMilliseconds(561));
+    tick(561);
 
     CHECK_EQUAL(1, output.toEntries.size());
     CHECK_EQUAL(2, output.toEntries[0].head.source.port);
@@ -743,7 +610,7 @@
 {
     receive(opening(), 0);
     for (std::int64_t at = 0; at <= 2000; at += 100)
-        agent.tick(atMilliseconds(at));
+        tick(at);
 
     CHECK_EQUAL(1, output.toEntries.size());
 }
@@ -751,17 +618,10 @@
 // The client has taken the answer of another upstream, so this one holds no flow to keep waiting.
 TEST(flow_agent, RequestThatAcknowledgesAnotherUpstreamIsNotHeld)
 {
-    sendHello(1, 2);
-    for (std::uint16_t port = 1; port <= 3; ++port)
-        request(port, port);
+    sendRequests(3);
     receive(opening(), 10);
-    packet_head head = fromUpstream();
-    head.opens = true;
-    head.sequence = 5000;
-    answer(head, 10);
-    head = fromClient(instruction::deliver, 200);
-    head.acknowledgement = 70'000;
-    receive(head, 11);
+    accept(10, 5000);
+    receive(acknowledging(70'000, fromClient(instruction::deliver, 200)), 11);
 
     CHECK_EQUAL(4, portsOfRequests().size());
     CHECK_EQUAL(client.port, portsOfRequests().back());
@@ -769,22 +629,14 @@
 
 TEST(flow_agent, RequestThatAcknowledgesTheUpstreamIsHeld)
 {
-    sendHello(1, 2);
-    for (std::uint16_t port = 1; port <= 3; ++port)
-        request(port, port);
+    sendRequests(3);
     for (const std::uint32_t distance : { 0U, 1U }) {
-        packet_head head = opening();
-        head.source.port = static_cast<std::uint16_t>(10 + distance);
-        receive(head, 10);
-        head = fromUpstream();
-        head.destination.port = static_cast<std::uint16_t>(10 + distance);
-        head.opens = true;
-        head.sequence = 0xffffffff;
-        answer(head, 10);
-        head = fromClient(instruction::deliver, 200);
-        head.source.port = static_cast<std::uint16_t>(10 + distance);
-        head.acknowledgement = 0xffffffff + distance;
-        receive(head, 11);
+        const auto port = static_cast<std::uint16_t>(10 + distance);
+        receive(opening(port), 10);
+        accept(10, 0xffffffff, port);
+        receive(acknowledging(0xffffffff + distance,
+                              fromClient(instruction::deliver, 200, 100, port)),
+                11);
     }
 
     CHECK_EQUAL(3, portsOfRequests().size());
@@ -794,15 +646,7 @@
 // other upstreams.
 TEST(flow_agent, ProbeThatAcknowledgesTheUpstreamIsClaimedToItsSender)
 {
-    sendHello();
-    receive(opening(), 0);
-    packet_head head = fromUpstream();
-    head.opens = true;
-    head.sequence = 5000;
-    answer(head, 1);
-    head = fromClient(instruction::probe, 200);
-    head.acknowledgement = 5001;
-    receive(head, 2, otherEntry);
+    probeAcceptedFlow(5001);
 
     CHECK_EQUAL(1, output.sent<flow_claim>().size());
     CHECK_EQUAL(otherEntry.address, output.messages.back().first);
@@ -811,15 +655,7 @@
 // Another upstream may have answered a copy of the opening packet, and the client took that answer.
 TEST(flow_agent, ProbeThatAcknowledgesAnotherUpstreamIsNotClaimed)
 {
-    sendHello();
-    receive(opening(), 0);
-    packet_head head = fromUpstream();
-    head.opens = true;
-    head.sequence = 5000;
-    answer(head, 1);
-    head = fromClient(instruction::probe, 200);
-    head.acknowledgement = 4999;
-    receive(head, 2, otherEntry);
+    probeAcceptedFlow(4999);
 
     CHECK_EQUAL(0, output.sent<flow_claim>().size());
 }
@@ -851,9 +687,7 @@
 // The upstream would work on requests whose clients have left, in the places of others.
 TEST(flow_agent, HeldRequestOfALeavingClientIsDropped)
 {
-    sendHello(1, 2);
-    for (std::uint16_t port = 1; port <= 5; ++port)
-        request(port, port);
+    sendRequests(5);
     endFlow(4, 50, true);
     endFlow(5, 150, false);
     answerRequest(1, 200);
@@ -865,9 +699,7 @@
 // A client that sends nothing after its request may close its side at once and await the answer.
 TEST(flow_agent, HeldRequestOfAHalfClosedFlowIsReleased)
 {
-    sendHello(1, 2);
-    for (std::uint16_t port = 1; port <= 4; ++port)
-        request(port, port);
+    sendRequests(4);
     endFlow(4, 10, false);
     answerRequest(1, 20);
 
@@ -884,10 +716,10 @@
     for (std::uint16_t port = 2; port <= 5; ++port)
         request(port, 100);
     endFlow(2, 110, true);
-    agent.tick(atMilliseconds(159));
+    tick(159);
     CHECK_EQUAL(3, agent.load().running());
     CHECK_EQUAL(4, portsOfRequests().size());
-    agent.tick(atMilliseconds(160));
+    tick(160);
 
     CHECK_EQUAL(5, portsOfRequests().size());
 }
@@ -896,9 +728,9 @@
 TEST(flow_agent, RequestWithoutAnAnswerCountsForThreeSeconds)
 {
     request(1, 0);
-    agent.tick(atMilliseconds(2999));
+    tick(2999);
     CHECK_EQUAL(1, agent.load().running());
-    agent.tick(atMilliseconds(3000));
+    tick(3000);
 
     CHECK_EQUAL(0, agent.load().running());
 }
@@ -907,47 +739,44 @@
 TEST(flow_agent, FirstRequestOfAFlowOpenedAheadIsNotLate)
 {
     sendHello(1, 2);
-    packet_head head = opening();
-    head.source.port = 5;
-    receive(head, 0);
-    head = fromUpstream();
-    head.destination.port = 5;
-    head.opens = true;
-    answer(head, 1);
+    receive(opening(5), 0);
+    accept(1, 0, 5);
     for (std::uint16_t port = 1; port <= 4; ++port)
         request(port, 1000);
-    head = fromClient(instruction::deliver, 200);
-    head.source.port = 5;
-    receive(head, 1010);
+    receive(fromClient(instruction::deliver, 200, 100, 5), 1010);
     answerRequest(1, 1020);
 
     CHECK_EQUAL(5, portsOfRequests().back());
 }
 
+namespace {
+
+struct controlled_agent_fixture : public flow_agent_fixture
+{
+    controlled_agent_fixture()
+        : flow_agent_fixture({ 3, "orders", std::nullopt, { .overloadControl = true } })
+    { }
+
+    void open(std::uint16_t port, std::int64_t at, std::uint32_t copy = 0)
+    {
+        packet_head head = opening(port, copy);
+        head.tag.latencyObjective = 200ms;
+        receive(head, at);
+    }
+};
+
+} // namespace
+
+TEST_GROUP_BASE(overloaded_agent, controlled_agent_fixture) {};
+
 // A refused client must be able to open the same flow elsewhere, and its packets must not be taken
 // for those of a flow here.
-TEST(flow_agent, OpeningPacketIsRefusedUnderOverloadBeforeTheUpstreamGetsIt)
-{
-    flow_agent controlled { { 3, "orders", std::nullopt, { .overloadControl = true } },
-                            codec,
-                            documents,
-                            output,
-                            observer };
-    controlled.receiveMessage(entry.address, entry_hello { 1, "zone-a", 2 }, atMilliseconds(0));
-    const auto open = [&](std::uint16_t port, std::int64_t at, std::uint32_t copy = 0) {
-        packet_head head = opening();
-        head.source.port = port;
-        head.acknowledgement = copy;
-        head.tag.latencyObjective = std::chrono::milliseconds { 200 };
-        controlled.receiveFromEntry(entry, fake_codec::encode(head), atMilliseconds(at));
-    };
+TEST(overloaded_agent, OpeningPacketIsRefusedBeforeTheUpstreamGetsIt)
+{
+    sendHello();
     open(1, 0);
-    packet_head head = fromClient(instruction::deliver, 200);
-    head.source.port = 1;
-    controlled.receiveFromEntry(entry, fake_codec::encode(head), atMilliseconds(1));
-    head = fromUpstream(500);
-    head.destination.port = 1;
-    controlled.receiveFromUpstream(fake_codec::encode(head), atMilliseconds(49));
+    receive(fromClient(instruction::deliver, 200, 100, 1), 1);
+    answer(fromUpstream(500, 1), 49);
     for (std::uint16_t port = 2; port <= 4; ++port)
         open(port, 100);
     CHECK_EQUAL(0, output.toEntries.size());
@@ -955,9 +784,8 @@
     open(5, 101);
 
     CHECK_EQUAL(0, output.toUpstream.size());
-    CHECK_EQUAL(1, output.toEntries.size());
-    CHECK_TRUE(output.toEntries[0].head.tag.kind == instruction::refused);
-    CHECK_EQUAL(1, controlled.counters().overloaded);
+    CHECK_TRUE(onlyReturned(instruction::refused));
+    CHECK_EQUAL(1, agent.counters().overloaded);
     // The upstream has accepted an earlier copy of this one.
     open(4, 102, 1);
     CHECK_EQUAL(1, output.toUpstream.size());
