--- a/packages/flow/tests/overload_test.cpp
+++ b/packages/flow/tests/overload_test.cpp
@@ -1,4 +1,5 @@
 #include "overload_model.h"
+#include "test_values.h"
 
 #include "oriolehold/flow/admission_control.h"
 
@@ -9,7 +10,7 @@
 
 namespace {
 
-constexpr base::endpoint service { 0xc6120001, 443 };
+constexpr std::array loads { 1.0, 1.5, 2.0, 3.0, 6.0 };
 
 double share(std::uint64_t part, std::uint64_t whole)
 {
@@ -80,20 +81,20 @@
 // capacity an eighth of it served requests in time.
 TEST(overload, SlotsServeRequestsInTimeOfFlowsForOneRequest)
 {
-    for (const double load : { 1.0, 1.5, 2.0, 3.0, 6.0 })
+    for (const double load : loads)
         checkTargets({ .load = load });
 }
 
 TEST(overload, SlotsServeRequestsInTimeOfFlowsForManyRequests)
 {
-    for (const double load : { 1.0, 1.5, 2.0, 3.0, 6.0 })
+    for (const double load : loads)
         checkTargets({ .load = load, .longShare = 1.0 });
 }
 
 // Requests on open flows cannot be refused.
 TEST(overload, SlotsServeRequestsInTimeOfFlowsOpenedBefore)
 {
-    for (const double load : { 1.0, 1.5, 2.0, 3.0, 6.0 })
+    for (const double load : loads)
         checkTargets({ .load = load, .longShare = 1.0, .openAhead = 800 });
 }
 
@@ -130,8 +131,8 @@
         packet_tag tag;
         tag.priority = priority;
         tag.latencyObjective = std::chrono::milliseconds { 200 };
-        return admission.admit({ { 1, port }, service }, tag, std::chrono::milliseconds { elapsed },
-                               load, atMilliseconds(at));
+        return admission.admit({ { 1, port }, ordersAddress }, tag,
+                               std::chrono::milliseconds { elapsed }, load, atMilliseconds(at));
     }
 };
 
@@ -141,7 +142,7 @@
     for (std::uint16_t port = 1; port <= 8; ++port)
         CHECK_TRUE(admit(port, 1));
     CHECK_FALSE(admit(9, 1));
-    admission.forget({ { 1, 3 }, service });
+    admission.forget({ { 1, 3 }, ordersAddress });
     CHECK_TRUE(admit(9, 1));
     CHECK_FALSE(admit(10, 1, 199));
     CHECK_TRUE(admit(10, 1, 200));
--- a/packages/flow/tests/probe_storm_test.cpp
+++ b/packages/flow/tests/probe_storm_test.cpp
@@ -1,21 +1,16 @@
-#include "flow_fakes.h"
-
-#include <CppUTest/TestHarness.h>
+#include "entry_balancer_fixture.h"
+#include "event_queue.h"
 
 #include <algorithm>
-#include <functional>
-#include <queue>
 
 // The load of an entry instance with a slow link after all machines lost power: the flows of all
 // its clients are gone, and each client repeats its packets until it is reset.
 
 using namespace oriolehold;
 using namespace oriolehold::flow;
-using namespace std::chrono_literals;
 
 namespace {
 
-constexpr base::endpoint ordersAddress { 0xc6120001, 443 };
 constexpr std::uint32_t upstreamCount = 57;
 constexpr std::uint16_t flowCount = 300;
 constexpr std::size_t burstPackets = 16;   // of every tenth client, an upload
@@ -61,7 +56,7 @@
         flow_configuration routes;
         routes.version = 1;
         routes.routes = { { ordersAddress, { { "orders", 1 } }, 1, 300ms, 3000ms } };
-        m_balancer.finishRead(routes, list(), m_now, m_now);
+        m_balancer.finishRead(routes, list(), now(), now());
         m_resetAt.resize(flowCount);
     }
 
@@ -70,17 +65,13 @@
     {
         reportAll(); // an instance is ready after the agents have answered its first hellos
         for (std::uint16_t port = 0; port < flowCount; ++port)
-            schedule(base::duration { port * 1000 }, [this, port] { sendRequest(port, 200ms); });
-        repeat(1100ms, [this] { m_balancer.finishRead(std::nullopt, list(), m_now, m_now); });
-        repeat(200ms, [this] { reportAll(); });
-        repeat(1ms, [this] { m_balancer.tick(m_now); });
-        const base::time_point end = m_now + length;
-        while (!m_events.empty() && m_events.top().at < end) {
-            const event next = m_events.top();
-            m_events.pop();
-            m_now = next.at;
-            next.action();
-        }
+            m_events.after(base::duration { port * 1000 },
+                           [this, port] { sendRequest(port, 200ms); });
+        m_events.repeat(1100ms,
+                        [this] { m_balancer.finishRead(std::nullopt, list(), now(), now()); });
+        m_events.repeat(200ms, [this] { reportAll(); });
+        m_events.repeat(1ms, [this] { m_balancer.tick(now()); });
+        m_events.runUntil(now() + length);
         return static_cast<std::size_t>(std::ranges::count_if(
                 m_resetAt, [](const auto &time) { return time.has_value(); }));
     }
@@ -99,43 +90,18 @@
     const entry_counters &counters() const { return m_balancer.counters(); }
     // Datagrams that the instance sent.
     int droppedAtTheLink() const { return m_uplink.dropped; }
-    bool isolated() const { return m_balancer.isolated(m_now); }
+    bool isolated() const { return m_balancer.isolated(now()); }
 
 private:
-    struct event
-    {
-        base::time_point at;
-        std::uint64_t order;
-        std::function<void()> action;
-        bool operator<(const event &other) const
-        {
-            return std::pair(at, order) > std::pair(other.at, other.order);
-        }
-    };
-
-    void schedule(base::duration delay, std::function<void()> action)
-    {
-        m_events.push({ m_now + delay, m_order++, std::move(action) });
-    }
-    void repeat(base::duration interval, const std::function<void()> &action)
-    {
-        schedule(interval, [this, interval, action] {
-            action();
-            repeat(interval, action);
-        });
-    }
+    base::time_point now() const { return m_events.now(); }
     upstream_list list()
     {
         upstream_list result;
         result.revision = { 1, ++m_revision };
         for (std::uint32_t machine = 1; machine <= upstreamCount; ++machine) {
-            upstream_record &record = result.upstreams.emplace_back();
-            record.id = "i-" + std::to_string(machine);
-            record.service = "orders";
-            record.address = { machine, 8080 };
-            record.zone = "zone-a";
-            record.slots = 3;
-            record.incarnation = 1;
+            upstream_record &item = result.upstreams.emplace_back(record(machine));
+            item.slots = 3;
+            item.incarnation = 1;
         }
         return result;
     }
@@ -153,12 +119,12 @@
             head.acknowledges = true;
             head.sequence = static_cast<std::uint32_t>(1000 + i * fullPacket);
             head.payloadSize = uploads ? fullPacket : smallPacket;
-            if (const auto at = m_downlink.send(head.payloadSize, m_now))
-                schedule(*at - m_now, [this, head] {
-                    m_balancer.receivePacket(fake_codec::encode(head), 0, m_now);
+            if (const auto at = m_downlink.send(head.payloadSize, now()))
+                m_events.at(*at, [this, head] {
+                    m_balancer.receivePacket(fake_codec::encode(head), 0, now());
                 });
         }
-        schedule(retransmission, [this, port, retransmission] {
+        m_events.after(retransmission, [this, port, retransmission] {
             sendRequest(port, std::min<base::duration>(2 * retransmission, 1600ms));
         });
     }
@@ -172,19 +138,19 @@
         std::size_t messageSize = 45;
         if (const auto *result = std::get_if<probe_result>(&message))
             messageSize += sizeof(std::uint32_t) * result->denied.size();
-        if (const auto at = m_downlink.send(messageSize, m_now))
-            schedule(*at - m_now, [this, machine, message] {
-                m_balancer.receiveMessage(machine, message, m_now);
+        if (const auto at = m_downlink.send(messageSize, now()))
+            m_events.at(*at, [this, machine, message] {
+                m_balancer.receiveMessage(machine, message, now());
             });
     }
 
     void sendToAgent(std::uint32_t machine, base::byte_view packet) override
     {
         const packet_head head = *m_codec.decode(packet);
-        const auto at = m_uplink.send(head.payloadSize, m_now);
-        if (!at || head.tag.kind != packet_tag::instruction::probe)
+        const auto at = m_uplink.send(head.payloadSize, now());
+        if (!at || head.tag.kind != instruction::probe)
             return;
-        schedule(*at - m_now + 2 * delayToAgents, [this, machine, head] {
+        m_events.at(*at + 2 * delayToAgents, [this, machine, head] {
             sendFromAgent(machine,
                           flow_denial { keyOfClientPacket(head), serviceDigest("orders") });
         });
@@ -192,8 +158,8 @@
     void sendToClient(std::uint32_t, base::byte_view packet) override
     {
         const packet_head head = *m_codec.decode(packet);
-        if (m_uplink.send(0, m_now) && head.resets)
-            m_resetAt[head.destination.port - 1U] = m_now;
+        if (m_uplink.send(0, now()) && head.resets)
+            m_resetAt[head.destination.port - 1U] = now();
     }
     void sendMessage(std::uint32_t machine, const peer_message &message) override
     {
@@ -203,20 +169,18 @@
                 m_uplink.send(request == nullptr ? messageSize
                                                  : request->packet.size()
                                               + sizeof(std::uint32_t) * request->machines.size(),
-                              m_now);
+                              now());
         if (!at || request == nullptr)
             return;
         // The agent probes all machines, which deny, and returns the result.
         const flow_key key = keyOfClientPacket(*m_codec.decode(request->packet));
         const probe_result result { request->requestId, key, 0, request->machines };
-        schedule(*at - m_now + 4 * delayToAgents,
-                 [this, machine, result] { sendFromAgent(machine, result); });
+        m_events.at(*at + 4 * delayToAgents,
+                    [this, machine, result] { sendFromAgent(machine, result); });
     }
 
-    base::time_point m_now = atMilliseconds(0);
-    std::uint64_t m_order = 0;
+    event_queue m_events;
     std::uint64_t m_revision = 0;
-    std::priority_queue<event> m_events;
     slow_link m_uplink;
     slow_link m_downlink;
     std::vector<std::optional<base::time_point>> m_resetAt; // by port
