Share the idle upstream and the sliding second of the placement tests

The tests of placement and of cold upstreams each described an upstream with an idle report, and the two tests of the limit for cold upstreams each counted the packets in any sliding second. test_values.h has both once.

--- a/packages/flow/tests/cold_upstream_test.cpp
+++ b/packages/flow/tests/cold_upstream_test.cpp
@@ -1,7 +1,7 @@
 #include "oriolehold/flow/opening_limiter.h"
 #include "oriolehold/flow/placement_policy.h"
 
-#include "flow_fakes.h"
+#include "test_values.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -33,13 +33,8 @@
     {
         for (auto &upstreams : instances) {
             for (std::uint32_t machine = 0; machine < upstreamCount; ++machine) {
-                known_upstream item;
-                item.record.address = { machine, 80 };
-                item.record.zone = "zone-a";
-                item.record.slots = 2;
-                item.report.running = machine < cold ? 0 : 2;
-                item.report.meanServiceTime = 20ms;
-                upstreams.push_back(item);
+                upstreams.push_back(idleUpstream(machine));
+                upstreams.back().report.running = machine < cold ? 0 : 2;
             }
         }
         outcome.passed.resize(cold);
@@ -110,29 +105,19 @@
     result outcome;
 };
 
-std::size_t largestSecond(std::vector<base::time_point> times)
+// Each cold upstream gets nearly the published rate, and no second exceeds the bound.
+void check(const cold_service::result &result)
 {
-    std::size_t result = 0;
-    std::ranges::sort(times);
-    for (auto first = times.begin(); first != times.end(); ++first)
-        result = std::max<std::size_t>(
-                result, std::ranges::lower_bound(first, times.end(), *first + 1s) - first);
-    return result;
+    for (const auto &passed : result.passed) {
+        CHECK_TRUE(largestSecond(passed) <= 35);
+        CHECK_TRUE(static_cast<double>(passed.size()) >= 0.9 * rate * 10);
+    }
+    CHECK_TRUE(result.refused < 0.02 * result.placed);
 }
 
 } // namespace
 
-TEST_GROUP(cold_upstream) {
-    // Each cold upstream gets nearly the published rate, and no second exceeds the bound.
-    static void check(const cold_service::result &result) {
-            for (const auto &passed
-                 : result.passed) { CHECK_TRUE(largestSecond(passed) <= 35);
-CHECK_TRUE(static_cast<double>(passed.size()) >= 0.9 * rate * 10);
-}
-CHECK_TRUE(result.refused < 0.02 * result.placed);
-}
-}
-;
+TEST_GROUP(cold_upstream) {};
 
 // Guards against instances that all choose the upstream that their reports show as idle: it would
 // be flooded, or the refusals would delay most flows.
--- a/packages/flow/tests/opening_limiter_test.cpp
+++ b/packages/flow/tests/opening_limiter_test.cpp
@@ -1,11 +1,9 @@
 #include "oriolehold/flow/opening_limiter.h"
 
-#include "flow_fakes.h"
+#include "test_values.h"
 
 #include <CppUTest/TestHarness.h>
 
-#include <algorithm>
-
 using namespace oriolehold;
 using namespace oriolehold::flow;
 using namespace std::chrono_literals;
@@ -35,16 +33,6 @@
     {
         limiter.update(rate, atMilliseconds(at) + left, atMilliseconds(at));
     }
-    // Largest number of passed packets in a second.
-    std::size_t largestSecond()
-    {
-        std::size_t result = 0;
-        std::ranges::sort(passed);
-        for (auto first = passed.begin(); first != passed.end(); ++first)
-            result = std::max<std::size_t>(
-                    result, std::ranges::lower_bound(first, passed.end(), *first + 1s) - first);
-        return result;
-    }
 };
 
 // Guards against an agent that floods a cold upstream before it is told that it is cold.
@@ -81,7 +69,7 @@
         for (std::int64_t at = 0; at < 50'000; at += 3)
             offer(at / 1000 % 10 < 3 ? 0 : 10, at); // pauses of three seconds
 
-        CHECK_TRUE(static_cast<double>(largestSecond()) <= rate * 1.5 + 5);
+        CHECK_TRUE(static_cast<double>(largestSecond(passed)) <= rate * 1.5 + 5);
         CHECK_TRUE(static_cast<double>(passed.size()) >= rate * 35 * 0.9);
         CHECK_TRUE(static_cast<double>(passed.size()) <= rate * 50 + 6);
     }
@@ -101,7 +89,7 @@
             offer(10, at);
         }
     }
-    CHECK_TRUE(largestSecond() <= 35);
+    CHECK_TRUE(largestSecond(passed) <= 35);
 }
 
 // Guards against packets that were counted before the process was stopped and left after it.
--- a/packages/flow/tests/placement_policy_test.cpp
+++ b/packages/flow/tests/placement_policy_test.cpp
@@ -1,6 +1,6 @@
 #include "oriolehold/flow/placement_policy.h"
 
-#include "flow_fakes.h"
+#include "test_values.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -14,25 +14,13 @@
 
 const base::time_point now = atMilliseconds(0);
 
-known_upstream upstreamAt(std::uint32_t machine)
-{
-    known_upstream item;
-    item.record.address = { machine, 80 };
-    item.record.zone = "zone-a";
-    item.record.slots = 2;
-    item.listed = true;
-    item.report.meanServiceTime = 20ms;
-    item.reportedAt = now;
-    return item;
-}
-
 } // namespace
 
 TEST_GROUP(placement_policy)
 {
     base::seeded_random random { 1 };
     expected_time_policy policy { random };
-    std::vector<known_upstream> upstreams { upstreamAt(1), upstreamAt(2) };
+    std::vector<known_upstream> upstreams { idleUpstream(1), idleUpstream(2) };
 
     // Returns how often each machine is chosen in count placements.
     std::map<std::uint32_t, int> choices(int count)
@@ -85,7 +73,7 @@
 
 TEST(placement_policy, UpstreamsWithoutReportsOrWithRefusalsAreChosenLast)
 {
-    upstreams.push_back(upstreamAt(3));
+    upstreams.push_back(idleUpstream(3));
     upstreams[0].reportedAt = now - 1s;
     upstreams[1].avoidUntil = now + 10ms;
     upstreams[2].report.running = 9;
@@ -106,7 +94,7 @@
 TEST(placement_policy, InstancesWithTheSameReportsSpreadTheirFlows)
 {
     for (std::uint32_t machine = 3; machine <= 10; ++machine)
-        upstreams.push_back(upstreamAt(machine));
+        upstreams.push_back(idleUpstream(machine));
     for (std::size_t i = 1; i < upstreams.size(); ++i)
         upstreams[i].report.running = 1;
     const auto result = choices(1000);
@@ -121,7 +109,7 @@
 TEST(placement_policy, LimitedUpstreamGetsTheShareOfItsLimit)
 {
     for (std::uint32_t machine = 3; machine <= 8; ++machine)
-        upstreams.push_back(upstreamAt(machine));
+        upstreams.push_back(idleUpstream(machine));
     upstreams[0].capacity.concurrency = 1000;
     upstreams[0].warmUpEndsAt = now + 1s;
     for (std::size_t i = 1; i < upstreams.size(); ++i)
