--- a/packages/flow/tests/contested_address_test.cpp
+++ b/packages/flow/tests/contested_address_test.cpp
@@ -13,13 +13,11 @@
     upstream_record foreign = foreignRecord(1, "inventory");
     upstreams.upstreams.insert(upstreams.upstreams.begin(), foreign);
     publish(0);
-    balancer.tick(atMilliseconds(500));
+    tick(500);
     receive(packet(), 510);
 
     STRCMP_EQUAL("i-1", balancer.directory().find(1)->record.id.c_str());
-    CHECK_TRUE(std::ranges::any_of(output.messages, [](const auto &item) {
-        return item.first == 1 && std::holds_alternative<entry_hello>(item.second);
-    }));
+    CHECK_TRUE(output.receivers<entry_hello>().contains(1));
     CHECK_TRUE(probedMachines().contains(1));
 }
 
@@ -40,7 +38,7 @@
 {
     upstreams.upstreams.push_back(foreignRecord(1, "catalog"));
     publish(0);
-    balancer.receiveMessage(1, service_announcement { serviceDigest("orders") }, atMilliseconds(5));
+    announce(1, "orders", 5);
     receive(packet(), 10);
 
     STRCMP_EQUAL("i-1", balancer.directory().find(1)->record.id.c_str());
@@ -58,7 +56,7 @@
     copy.id = "a-copy";
     upstreams.upstreams.insert(upstreams.upstreams.begin(), copy);
     publish(0);
-    balancer.receiveMessage(1, service_announcement { serviceDigest("orders") }, atMilliseconds(5));
+    announce(1, "orders", 5);
     receive(packet(), 10);
 
     STRCMP_EQUAL("i-1", balancer.directory().find(1)->record.id.c_str());
@@ -71,7 +69,7 @@
 {
     upstreams.upstreams = { foreignRecord(1, "catalog") };
     publish(0);
-    balancer.receiveMessage(1, service_announcement { serviceDigest("orders") }, atMilliseconds(5));
+    announce(1, "orders", 5);
     receive(packet(), 10);
 
     CHECK_EQUAL(1, output.toAgents.size());
@@ -85,12 +83,10 @@
     publish(0);
     upstreams.upstreams.pop_back();
     publish(100);
-    balancer.receiveMessage(1, service_announcement { serviceDigest("orders") },
-                            atMilliseconds(150));
+    announce(1, "orders", 150);
     receive(opening(), 200);
 
-    CHECK_EQUAL(1, output.toAgents.size());
-    CHECK_EQUAL(1, output.toAgents.front().machine);
+    CHECK_TRUE(onlySentTo(1));
 }
 
 // The announcement of a former agent must not hide the upstream that uses its address now.
@@ -98,8 +94,7 @@
 {
     upstreams.upstreams = { record(1, "catalog") };
     publish(0);
-    balancer.receiveMessage(1, service_announcement { serviceDigest("catalog") },
-                            atMilliseconds(5));
+    announce(1, "catalog", 5);
     upstreams.upstreams = { record(1) };
     upstreams.upstreams.front().incarnation = 9;
     publish(3000);
--- a/packages/flow/tests/entry_balancer_fixture.h
+++ b/packages/flow/tests/entry_balancer_fixture.h
@@ -1,23 +1,19 @@
 #pragma once
 
 #include "flow_fakes.h"
+#include "test_values.h"
 
 #include "oriolehold/flow/entry_balancer.h"
 
 #include <CppUTest/TestHarness.h>
 
-#include <set>
-
 // An entry instance with a route to the service "orders", three upstreams of it and one of
 // "catalog".
 
 namespace oriolehold::flow {
 
 using namespace std::chrono_literals;
-using instruction = packet_tag::instruction;
 
-inline constexpr base::endpoint client { 0x64400007, 40001 };
-inline constexpr base::endpoint ordersAddress { 0xc6120001, 443 };
 inline constexpr base::endpoint unknownAddress { 0xc6120009, 443 };
 inline constexpr std::uint32_t largeService = 49; // upstreams
 
@@ -59,6 +55,24 @@
         upstreams.revision = { era, ++revision };
         balancer.finishRead(routes, upstreams, atMilliseconds(at), atMilliseconds(at));
     }
+    void publishAndTick(std::int64_t at)
+    {
+        publish(at);
+        tick(at + 1);
+    }
+    // Publishes the first list, and receives a packet 10 ms later.
+    void publishAndReceive(const packet_head &head)
+    {
+        publish(0);
+        receive(head, 10);
+    }
+    void tick(std::int64_t at) { balancer.tick(atMilliseconds(at)); }
+    // Calls tick() from first until before end.
+    void tickBetween(std::int64_t first, std::int64_t end, std::int64_t interval = 5)
+    {
+        for (std::int64_t at = first; at < end; at += interval)
+            tick(at);
+    }
 
     packet_head packet(const base::endpoint &service = ordersAddress) const
     {
@@ -85,6 +99,12 @@
         result.incarnation += 1000;
         return result;
     }
+    packet_head openingFrom(std::uint16_t port) const
+    {
+        packet_head head = opening();
+        head.source.port = port;
+        return head;
+    }
     packet_head openingWithSequence(std::uint32_t sequence, std::uint32_t copy = 0) const
     {
         packet_head head = opening(copy);
@@ -95,6 +115,53 @@
     {
         balancer.receivePacket(fake_codec::encode(head), 0, atMilliseconds(at));
     }
+    // Receives packets of one flow with these sequence numbers.
+    void receiveSequences(std::initializer_list<std::uint32_t> sequences, std::int64_t at,
+                          std::uint16_t size = 0, std::uint16_t port = client.port)
+    {
+        for (const std::uint32_t sequence : sequences) {
+            packet_head head = packet();
+            head.source.port = port;
+            head.sequence = sequence;
+            head.payloadSize = size;
+            receive(head, at);
+        }
+    }
+    // Opens flows from successive ports. Returns the machines that got their opening packets.
+    std::set<std::uint32_t> placeFlows(std::uint16_t count, std::int64_t at,
+                                       std::uint16_t firstPort = 1)
+    {
+        output.toAgents.clear();
+        for (std::uint16_t i = 0; i < count; ++i)
+            receive(openingFrom(static_cast<std::uint16_t>(firstPort + i)), at);
+        std::set<std::uint32_t> machines;
+        for (const sent_packet &sent : output.toAgents)
+            machines.insert(sent.machine);
+        return machines;
+    }
+    void receiveMessage(std::uint32_t machine, const peer_message &message, std::int64_t at)
+    {
+        balancer.receiveMessage(machine, message, atMilliseconds(at));
+    }
+    void claim(std::uint32_t machine, std::int64_t at)
+    {
+        receiveMessage(machine, flow_claim { { clientFlow } }, at);
+    }
+    void deny(std::initializer_list<std::uint32_t> machines, std::int64_t at)
+    {
+        for (const std::uint32_t machine : machines)
+            receiveMessage(machine, flow_denial { clientFlow }, at);
+    }
+    void announce(std::uint32_t machine, std::string_view service, std::int64_t at)
+    {
+        receiveMessage(machine, service_announcement { serviceDigest(service) }, at);
+    }
+    void report(std::initializer_list<std::uint32_t> machines, std::int64_t at,
+                std::uint64_t bootId = 0)
+    {
+        for (const std::uint32_t machine : machines)
+            receiveMessage(machine, load_report { .bootId = bootId }, at);
+    }
     // Returns a packet from the machine that received the last one.
     void receiveBack(const packet_head &head, instruction kind, std::int64_t at)
     {
@@ -107,10 +174,10 @@
         balancer.receivePacket(fake_codec::encode(head), sender, atMilliseconds(at));
     }
     // Publishes a service whose upstreams need several rounds of probes.
-    void publishLargeService(std::int64_t at)
+    void publishLargeService(std::int64_t at, std::uint32_t count = largeService)
     {
         upstreams.upstreams.clear();
-        for (std::uint32_t machine = 1; machine <= largeService; ++machine)
+        for (std::uint32_t machine = 1; machine <= count; ++machine)
             upstreams.upstreams.push_back(record(machine));
         publish(at);
     }
@@ -126,7 +193,7 @@
     {
         publishLargeService(at);
         for (std::uint32_t machine = 1; machine <= largeService; ++machine)
-            balancer.receiveMessage(machine, load_report { .bootId = machine }, atMilliseconds(at));
+            receiveMessage(machine, load_report { .bootId = machine }, at);
         output.messages.clear();
     }
     // Requests to agents that probe on behalf of the instance, with the machines asked.
@@ -139,11 +206,20 @@
         }
         return requests;
     }
-    std::ptrdiff_t hellos() const
+    std::size_t hellos() const { return output.sent<entry_hello>().size(); }
+    bool onlySentTo(std::uint32_t machine) const
+    {
+        return output.toAgents.size() == 1 && output.toAgents.front().machine == machine;
+    }
+    // Sequence numbers of the packets to the machine.
+    std::multiset<std::uint32_t> sequencesTo(std::uint32_t machine) const
     {
-        return std::ranges::count_if(output.messages, [](const auto &item) {
-            return std::holds_alternative<entry_hello>(item.second);
-        });
+        std::multiset<std::uint32_t> sequences;
+        for (const sent_packet &sent : output.toAgents) {
+            if (sent.machine == machine)
+                sequences.insert(sent.head.sequence);
+        }
+        return sequences;
     }
     std::set<std::uint32_t> probedMachines() const
     {
@@ -154,12 +230,7 @@
         }
         return machines;
     }
-    void denyAll(std::int64_t at)
-    {
-        for (const std::uint32_t machine : { 1U, 2U, 3U })
-            balancer.receiveMessage(machine, flow_denial { { client, ordersAddress } },
-                                    atMilliseconds(at));
-    }
+    void denyAll(std::int64_t at) { deny({ 1, 2, 3 }, at); }
 };
 
 } // namespace oriolehold::flow
--- a/packages/flow/tests/entry_balancer_test.cpp
+++ b/packages/flow/tests/entry_balancer_test.cpp
@@ -3,12 +3,39 @@
 using namespace oriolehold;
 using namespace oriolehold::flow;
 
-TEST_GROUP_BASE(entry_balancer, entry_balancer_fixture) {};
+namespace {
+
+struct entry_fixture : public entry_balancer_fixture
+{
+    // A summary of the same list, read a little later by another instance.
+    void receiveNewerSummary(std::int64_t at)
+    {
+        view_summary summary = balancer.view().summary(atMilliseconds(at));
+        summary.upstreamRevision.number += 1;
+        summary.age = {};
+        receiveMessage(1, summary, at);
+    }
+    void refuseByAll(std::uint32_t copy, std::int64_t at)
+    {
+        for (int i = 0; i < 3; ++i)
+            receiveBack(opening(copy), instruction::refused, at + i);
+    }
+    // Another entry of the upstream on machine 1.
+    static upstream_record entryOfFirst(std::string id)
+    {
+        upstream_record result = record(1);
+        result.id = std::move(id);
+        return result;
+    }
+};
+
+} // namespace
+
+TEST_GROUP_BASE(entry_balancer, entry_fixture) {};
 
 TEST(entry_balancer, OpeningPacketGoesToAnUpstreamOfTheService)
 {
-    publish(0);
-    receive(opening(), 10);
+    publishAndReceive(opening());
 
     CHECK_EQUAL(1, output.toAgents.size());
     CHECK_TRUE(output.toAgents[0].machine <= 3);
@@ -22,8 +49,7 @@
 // If copies went to different upstreams, both would accept the flow.
 TEST(entry_balancer, CopiesOfAnOpeningPacketGoToTheSameUpstream)
 {
-    publish(0);
-    receive(opening(0), 10);
+    publishAndReceive(opening(0));
     receive(opening(1), 210);
     receive(opening(2), 610);
 
@@ -34,8 +60,7 @@
 
 TEST(entry_balancer, OpeningPacketWithoutRouteIsReset)
 {
-    publish(0);
-    receive(opening(0, unknownAddress), 10);
+    publishAndReceive(opening(0, unknownAddress));
 
     CHECK_EQUAL(0, output.toAgents.size());
     CHECK_EQUAL(1, output.toClients.size());
@@ -45,8 +70,7 @@
 // Other instances may already have a route for the address; a reset would break the flow.
 TEST(entry_balancer, PacketOfAnOpenFlowWithoutRouteIsDropped)
 {
-    publish(0);
-    receive(packet(unknownAddress), 10);
+    publishAndReceive(packet(unknownAddress));
 
     CHECK_EQUAL(0, output.toClients.size());
     CHECK_EQUAL(0, output.toAgents.size());
@@ -57,20 +81,13 @@
     upstreams.upstreams[0].phase = upstream_phase::draining;
     upstreams.upstreams[1].phase = upstream_phase::draining;
     publish(0);
-    for (std::uint16_t port = 0; port < 20; ++port) {
-        packet_head head = opening();
-        head.source.port = port;
-        receive(head, 10);
-    }
 
-    for (const sent_packet &sent : output.toAgents)
-        CHECK_EQUAL(3, sent.machine);
+    CHECK_TRUE((placeFlows(20, 10) == std::set<std::uint32_t> { 3 }));
 }
 
 TEST(entry_balancer, UnknownFlowIsSearchedAtAllUpstreamsOfItsRoute)
 {
-    publish(0);
-    receive(packet(), 10);
+    publishAndReceive(packet());
 
     CHECK_EQUAL(3, output.toAgents.size());
     for (const sent_packet &sent : output.toAgents)
@@ -80,18 +97,16 @@
 TEST(entry_balancer, ClaimedFlowIsForwardedToItsOwnerOnly)
 {
     publish(0);
-    balancer.receiveMessage(2, flow_claim { { { client, ordersAddress } } }, atMilliseconds(5));
+    claim(2, 5);
     receive(packet(), 10);
 
-    CHECK_EQUAL(1, output.toAgents.size());
-    CHECK_EQUAL(2, output.toAgents[0].machine);
+    CHECK_TRUE(onlySentTo(2));
 }
 
 TEST(entry_balancer, ClaimEndsASearch)
 {
-    publish(0);
-    receive(packet(), 10);
-    balancer.receiveMessage(2, flow_claim { { { client, ordersAddress } } }, atMilliseconds(12));
+    publishAndReceive(packet());
+    claim(2, 12);
 
     CHECK_EQUAL(0, balancer.openSearches());
     CHECK_EQUAL(1, observer.decisions[decision_kind::ownerFound]);
@@ -100,8 +115,7 @@
 // The address of a candidate may serve another service before the search ends.
 TEST(entry_balancer, CandidateThatServesAnotherServiceMeanwhileIsNotProbed)
 {
-    publish(0);
-    receive(packet(), 10);
+    publishAndReceive(packet());
     upstreams.upstreams[1] = record(2, "catalog");
     upstreams.upstreams[1].incarnation = 9;
     publish(500);
@@ -118,8 +132,7 @@
     publishLargeService(0);
     receive(packet(), 10);
     for (std::size_t i = 0; i < output.toAgents.size(); ++i)
-        balancer.receiveMessage(output.toAgents[i].machine,
-                                flow_denial { { client, ordersAddress } }, atMilliseconds(12));
+        deny({ output.toAgents[i].machine }, 12);
 
     CHECK_EQUAL(largeService, probedMachines().size());
     CHECK_EQUAL(largeService, output.toAgents.size());
@@ -131,8 +144,7 @@
 {
     publishLargeService(0);
     receive(packet(), 10);
-    for (std::int64_t at = 15; at < 210; at += 5)
-        balancer.tick(atMilliseconds(at));
+    tickBetween(15, 210);
 
     CHECK_EQUAL(largeService, probedMachines().size());
 }
@@ -143,7 +155,7 @@
     publishLargeService(0);
     for (std::int64_t at = 10; at < 210; at += 10) {
         receive(packet(), at);
-        balancer.tick(atMilliseconds(at + 5));
+        tick(at + 5);
     }
 
     CHECK_EQUAL(largeService, probedMachines().size());
@@ -151,11 +163,9 @@
 
 TEST(entry_balancer, UpstreamThatIsListedDuringASearchIsProbedWithoutTheClient)
 {
-    publish(0);
-    receive(packet(), 10);
+    publishAndReceive(packet());
     upstreams.upstreams.push_back(record(5));
-    publish(500);
-    balancer.tick(atMilliseconds(501));
+    publishAndTick(500);
 
     CHECK_TRUE(probedMachines().contains(5));
 }
@@ -166,15 +176,11 @@
     publishLargeService(0);
     receive(packet(), 10);
     const std::uint32_t owner = output.toAgents.back().machine;
-    for (std::int64_t at = 11; at < 40; at += 5)
-        balancer.tick(atMilliseconds(at));
-    packet_head second = packet();
-    second.sequence = 77;
+    tickBetween(11, 40);
     output.toAgents.clear();
-    receive(second, 40);
+    receiveSequences({ 77 }, 40);
     CHECK_FALSE(probedMachines().contains(owner));
-    balancer.receiveMessage(owner, flow_claim { { { client, ordersAddress } } },
-                            atMilliseconds(41));
+    claim(owner, 41);
 
     CHECK_EQUAL(owner, output.toAgents.back().machine);
     CHECK_EQUAL(77, output.toAgents.back().head.sequence);
@@ -186,45 +192,22 @@
 TEST(entry_balancer, SilentUpstreamGetsAllPacketsOfTheSearch)
 {
     publish(0);
-    for (const std::uint32_t sequence : { 100U, 200U, 300U }) {
-        packet_head head = packet();
-        head.sequence = sequence;
-        head.payloadSize = 100;
-        receive(head, 10);
-    }
-    for (const std::uint32_t machine : { 1U, 2U })
-        balancer.receiveMessage(machine, flow_denial { { client, ordersAddress } },
-                                atMilliseconds(12));
-    for (std::int64_t at = 15; at < 60; at += 5)
-        balancer.tick(atMilliseconds(at));
-
-    std::set<std::uint32_t> sequences;
-    for (const sent_packet &sent : output.toAgents) {
-        if (sent.machine == 3)
-            sequences.insert(sent.head.sequence);
-    }
-    CHECK_TRUE((sequences == std::set<std::uint32_t> { 100, 200, 300 }));
+    receiveSequences({ 100, 200, 300 }, 10, 100);
+    deny({ 1, 2 }, 12);
+    tickBetween(15, 60);
+
+    const auto sequences = sequencesTo(3);
+    CHECK_TRUE((std::set(sequences.begin(), sequences.end()) == std::set { 100U, 200U, 300U }));
 }
 
 TEST(entry_balancer, ClaimantGetsAllPacketsOfTheSearchOnce)
 {
     publishLargeService(0);
-    for (const std::uint32_t sequence : { 100U, 200U, 300U }) {
-        packet_head head = packet();
-        head.sequence = sequence;
-        head.payloadSize = 100;
-        receive(head, 10);
-    }
+    receiveSequences({ 100, 200, 300 }, 10, 100);
     const std::uint32_t owner = output.toAgents.back().machine;
-    balancer.receiveMessage(owner, flow_claim { { { client, ordersAddress } } },
-                            atMilliseconds(12));
+    claim(owner, 12);
 
-    std::multiset<std::uint32_t> sequences;
-    for (const sent_packet &sent : output.toAgents) {
-        if (sent.machine == owner)
-            sequences.insert(sent.head.sequence);
-    }
-    CHECK_TRUE((sequences == std::multiset<std::uint32_t> { 100, 200, 300 }));
+    CHECK_TRUE((sequencesTo(owner) == std::multiset<std::uint32_t> { 100, 200, 300 }));
 }
 
 // A burst of packets was probed once for each packet, which is most of the traffic of an instance
@@ -232,17 +215,11 @@
 TEST(entry_balancer, PacketsThatArriveTogetherAreProbedOnce)
 {
     publish(0);
-    for (const std::uint32_t sequence : { 100U, 200U, 300U }) {
-        packet_head head = packet();
-        head.sequence = sequence;
-        receive(head, 10);
-    }
+    receiveSequences({ 100, 200, 300 }, 10);
     CHECK_EQUAL(3, output.toAgents.size());
 
-    packet_head copy = packet();
-    copy.sequence = 100;
     output.toAgents.clear();
-    receive(copy, 210);
+    receiveSequences({ 100 }, 210);
     CHECK_EQUAL(3, probedMachines().size());
 }
 
@@ -250,20 +227,13 @@
 TEST(entry_balancer, ManySearchesKeepOnePacketEach)
 {
     publish(0);
-    for (std::uint16_t port = 1; port <= 300; ++port) {
-        for (const std::uint32_t sequence : { 100U, 200U }) {
-            packet_head head = packet();
-            head.source.port = port;
-            head.sequence = sequence;
-            receive(head, 10);
-        }
-    }
+    for (std::uint16_t port = 1; port <= 300; ++port)
+        receiveSequences({ 100, 200 }, 10, 0, port);
     const base::endpoint lastClient { client.address, 300 };
     upstreams.upstreams.push_back(record(9));
     publish(13);
     output.toAgents.clear();
-    balancer.receiveMessage(9, flow_claim { { { lastClient, ordersAddress } } },
-                            atMilliseconds(14));
+    receiveMessage(9, flow_claim { { { lastClient, ordersAddress } } }, 14);
 
     CHECK_EQUAL(1, output.toAgents.size());
     CHECK_EQUAL(200, output.toAgents.front().head.sequence);
@@ -273,11 +243,10 @@
 TEST(entry_balancer, ClaimThatEndsASearchBetweenItsRoundsLeavesNoWakeUp)
 {
     publishLargeService(0);
-    balancer.tick(atMilliseconds(9));
+    tick(9);
     receive(packet(), 10);
-    balancer.receiveMessage(output.toAgents.front().machine,
-                            flow_claim { { { client, ordersAddress } } }, atMilliseconds(12));
-    balancer.tick(atMilliseconds(100));
+    claim(output.toAgents.front().machine, 12);
+    tick(100);
 
     CHECK_TRUE(balancer.tick(atMilliseconds(101)) > base::duration::zero());
 }
@@ -286,14 +255,12 @@
 // upstream has returned the packet, as the flow would wait for the client's next packet.
 TEST(entry_balancer, ReturnedProbeThatOvertakesTheClaimOfItsAgentCounts)
 {
-    const flow_key key { client, ordersAddress };
-    publish(0);
-    receive(packet(), 10);
+    publishAndReceive(packet());
     receiveBack(packet(), instruction::absent, 2, "orders", 12);
-    balancer.receiveMessage(2, flow_claim { { key } }, atMilliseconds(13));
-    balancer.receiveMessage(2, flow_denial { key, serviceDigest("orders") }, atMilliseconds(13));
+    claim(2, 13);
+    receiveMessage(2, flow_denial { clientFlow, serviceDigest("orders") }, 13);
 
-    CHECK_TRUE(balancer.ownerOf(key) != 2);
+    CHECK_TRUE(balancer.ownerOf(clientFlow) != 2);
 }
 
 // Guards against a reset of an open flow: a new configuration leaves open flows at the service that
@@ -307,8 +274,7 @@
     publish(1000);
     receive(packet(), 1010);
     denyAll(1012);
-    publish(1500);
-    balancer.tick(atMilliseconds(1501));
+    publishAndTick(1500);
 
     CHECK_EQUAL(0, output.toClients.size());
 }
@@ -317,29 +283,24 @@
 TEST(entry_balancer, UpstreamThatIsRemovedAfterALongOutageKeepsItsFlowsWhileItsAgentReports)
 {
     publish(0);
-    balancer.receiveMessage(3, flow_claim { { { client, ordersAddress } } }, atMilliseconds(5));
+    claim(3, 5);
     upstreams.upstreams.erase(upstreams.upstreams.begin() + 2);
     for (const std::int64_t at : { 25000, 26500, 28000 }) {
         publish(at);
-        for (const std::uint32_t machine : { 1U, 2U, 3U })
-            balancer.receiveMessage(machine, load_report {}, atMilliseconds(at + 100));
+        report({ 1, 2, 3 }, at + 100);
     }
     receive(packet(), 28200);
 
-    CHECK_EQUAL(1, output.toAgents.size());
-    CHECK_EQUAL(3, output.toAgents[0].machine);
+    CHECK_TRUE(onlySentTo(3));
     CHECK_TRUE(output.toAgents[0].head.tag.kind == instruction::deliver);
 }
 
 // A reset breaks an open flow, so all possible owners must deny the flow first.
 TEST(entry_balancer, FlowIsNotResetWhileOneUpstreamHasNotDenied)
 {
-    publish(0);
-    receive(packet(), 10);
-    balancer.receiveMessage(1, flow_denial { { client, ordersAddress } }, atMilliseconds(12));
-    balancer.receiveMessage(2, flow_denial { { client, ordersAddress } }, atMilliseconds(12));
-    publish(500);
-    balancer.tick(atMilliseconds(501));
+    publishAndReceive(packet());
+    deny({ 1, 2 }, 12);
+    publishAndTick(500);
 
     CHECK_EQUAL(0, output.toClients.size());
 }
@@ -347,10 +308,9 @@
 // An upstream that registered after the current list was read may hold the flow.
 TEST(entry_balancer, FlowIsNotResetByAListOlderThanTheSearch)
 {
-    publish(0);
-    receive(packet(), 10);
+    publishAndReceive(packet());
     denyAll(12);
-    balancer.tick(atMilliseconds(20));
+    tick(20);
 
     CHECK_EQUAL(0, output.toClients.size());
     CHECK_TRUE(balancer.readDue(atMilliseconds(300)));
@@ -362,10 +322,10 @@
     publish(0);
     receive(packet(), 1000);
     denyAll(1002);
-    balancer.tick(atMilliseconds(1003));
+    tick(1003);
     CHECK_TRUE(balancer.readDue(atMilliseconds(1003)));
     publish(1004);
-    balancer.tick(atMilliseconds(1008));
+    tick(1008);
 
     CHECK_EQUAL(1, output.toClients.size());
 }
@@ -376,11 +336,8 @@
     publish(0);
     receive(packet(), 1000);
     denyAll(1002);
-    view_summary summary = balancer.view().summary(atMilliseconds(1010));
-    summary.upstreamRevision.number += 1;
-    summary.age = {};
-    balancer.receiveMessage(1, summary, atMilliseconds(1010));
-    balancer.tick(atMilliseconds(1011));
+    receiveNewerSummary(1010);
+    tick(1011);
 
     CHECK_FALSE(balancer.readDue(atMilliseconds(1100)));
     CHECK_TRUE(balancer.readDue(atMilliseconds(1220)));
@@ -388,23 +345,19 @@
 
 TEST(entry_balancer, FlowIsNotResetWhenANewUpstreamWasNotProbed)
 {
-    publish(0);
-    receive(packet(), 10);
+    publishAndReceive(packet());
     denyAll(12);
     upstreams.upstreams.push_back(record(5));
-    publish(500);
-    balancer.tick(atMilliseconds(501));
+    publishAndTick(500);
 
     CHECK_EQUAL(0, output.toClients.size());
 }
 
 TEST(entry_balancer, FlowThatNoUpstreamHoldsIsReset)
 {
-    publish(0);
-    receive(packet(), 10);
+    publishAndReceive(packet());
     denyAll(12);
-    publish(500);
-    balancer.tick(atMilliseconds(501));
+    publishAndTick(500);
 
     CHECK_EQUAL(1, output.toClients.size());
     CHECK_TRUE(output.toClients[0].head.resets);
@@ -418,16 +371,14 @@
 {
     upstreams.upstreams.erase(upstreams.upstreams.begin() + 2);
     publish(0);
-    balancer.receiveMessage(3, load_report {}, atMilliseconds(5));
+    report({ 3 }, 5);
     receive(packet(), 10);
     denyAll(12);
-    publish(500);
-    balancer.tick(atMilliseconds(501));
+    publishAndTick(500);
     CHECK_EQUAL(0, output.toClients.size());
 
     upstreams.upstreams.push_back(record(3));
-    publish(1500);
-    balancer.tick(atMilliseconds(1501));
+    publishAndTick(1500);
     CHECK_TRUE(probedMachines().contains(3));
 }
 
@@ -435,11 +386,10 @@
 {
     upstreams.upstreams.erase(upstreams.upstreams.begin() + 2);
     publish(0);
-    balancer.receiveMessage(3, load_report {}, atMilliseconds(5));
+    report({ 3 }, 5);
     receive(packet(), 10);
     denyAll(12);
-    publish(2600);
-    balancer.tick(atMilliseconds(2601));
+    publishAndTick(2600);
 
     CHECK_EQUAL(1, output.toClients.size());
 }
@@ -448,12 +398,11 @@
 // to wait although the first list has all of them.
 TEST(entry_balancer, ReportBeforeTheFirstListDoesNotDelayResets)
 {
-    balancer.receiveMessage(3, load_report {}, atMilliseconds(0));
+    report({ 3 }, 0);
     publish(5);
     receive(packet(), 10);
     denyAll(12);
-    publish(500);
-    balancer.tick(atMilliseconds(501));
+    publishAndTick(500);
 
     CHECK_EQUAL(1, output.toClients.size());
 }
@@ -466,10 +415,8 @@
     publish(1000);
     publish(5000);
     receive(packet(), 5010);
-    balancer.receiveMessage(1, flow_denial { { client, ordersAddress } }, atMilliseconds(5012));
-    balancer.receiveMessage(2, flow_denial { { client, ordersAddress } }, atMilliseconds(5012));
-    publish(5500);
-    balancer.tick(atMilliseconds(5501));
+    deny({ 1, 2 }, 5012);
+    publishAndTick(5500);
 
     CHECK_EQUAL(1, output.toClients.size());
 }
@@ -479,16 +426,14 @@
 TEST(entry_balancer, SilenceOfAllAgentsDoesNotMeanThatARemovedUpstreamIsGone)
 {
     publish(0);
-    balancer.receiveMessage(3, flow_claim { { { client, ordersAddress } } }, atMilliseconds(5));
+    claim(3, 5);
     upstreams.upstreams.erase(upstreams.upstreams.begin() + 2);
     publish(1000);
     publish(2000);
-    for (const std::uint32_t machine : { 1U, 2U, 3U })
-        balancer.receiveMessage(machine, load_report {}, atMilliseconds(2005));
+    report({ 1, 2, 3 }, 2005);
     receive(packet(), 4010);
 
-    CHECK_EQUAL(1, output.toAgents.size());
-    CHECK_EQUAL(3, output.toAgents[0].machine);
+    CHECK_TRUE(onlySentTo(3));
     CHECK_TRUE(output.toAgents[0].head.tag.kind == instruction::deliver);
 }
 
@@ -497,11 +442,11 @@
 TEST(entry_balancer, FlowOfARemovedAndUnreachableUpstreamIsSearched)
 {
     publish(0);
-    balancer.receiveMessage(3, flow_claim { { { client, ordersAddress } } }, atMilliseconds(5));
+    claim(3, 5);
     upstreams.upstreams.erase(upstreams.upstreams.begin() + 2);
     publish(1000);
     publish(2000);
-    balancer.receiveMessage(1, load_report {}, atMilliseconds(2005));
+    report({ 1 }, 2005);
     receive(packet(), 2010);
 
     CHECK_TRUE(output.toAgents.size() > 1);
@@ -515,11 +460,9 @@
     publish(1000);
     publish(5000);
     receive(packet(), 5010);
-    balancer.receiveMessage(1, flow_denial { { client, ordersAddress } }, atMilliseconds(5012));
-    balancer.receiveMessage(2, flow_denial { { client, ordersAddress } }, atMilliseconds(5012));
-    balancer.receiveMessage(3, load_report {}, atMilliseconds(5400));
-    publish(5500);
-    balancer.tick(atMilliseconds(5501));
+    deny({ 1, 2 }, 5012);
+    report({ 3 }, 5400);
+    publishAndTick(5500);
 
     CHECK_EQUAL(0, output.toClients.size());
 }
@@ -537,8 +480,7 @@
 
 TEST(entry_balancer, RefusedOpeningPacketGoesToAnotherUpstream)
 {
-    publish(0);
-    receive(opening(), 10);
+    publishAndReceive(opening());
     receiveBack(opening(), instruction::refused, 12);
 
     CHECK_EQUAL(2, output.toAgents.size());
@@ -550,11 +492,9 @@
 // meanwhile. The flow must not be placed a second time.
 TEST(entry_balancer, RefusedCopyOfAnOpeningPacketDoesNotMoveAnOpenFlow)
 {
-    publish(0);
-    receive(opening(), 10);
+    publishAndReceive(opening());
     const std::uint32_t owner = output.toAgents.back().machine;
-    balancer.receiveMessage(owner, flow_claim { { { client, ordersAddress } } },
-                            atMilliseconds(20));
+    claim(owner, 20);
     receiveBack(opening(1), instruction::refused, 215);
     receive(packet(), 220);
 
@@ -565,8 +505,7 @@
 // Another upstream can still answer before the client retransmits the packet.
 TEST(entry_balancer, UnansweredOpeningPacketGoesToAnotherUpstream)
 {
-    publish(0);
-    receive(opening(), 10);
+    publishAndReceive(opening());
     receiveBack(opening(), instruction::unanswered, 72);
 
     CHECK_EQUAL(2, output.toAgents.size());
@@ -576,10 +515,8 @@
 
 TEST(entry_balancer, OpeningPacketThatAllRefuseIsReset)
 {
-    publish(0);
-    receive(opening(), 10);
-    for (int i = 0; i < 3; ++i)
-        receiveBack(opening(), instruction::refused, 12 + i);
+    publishAndReceive(opening());
+    refuseByAll(0, 12);
 
     CHECK_EQUAL(1, output.toClients.size());
 }
@@ -588,8 +525,7 @@
 // flow.
 TEST(entry_balancer, OpeningPacketThatAnUpstreamHasNotAnsweredIsNotReset)
 {
-    publish(0);
-    receive(opening(), 10);
+    publishAndReceive(opening());
     receiveBack(opening(), instruction::unanswered, 70);
     receiveBack(opening(), instruction::refused, 72);
     receiveBack(opening(), instruction::refused, 74);
@@ -603,8 +539,7 @@
 {
     publish(0);
     receive(opening(1), 210);
-    for (int i = 0; i < 3; ++i)
-        receiveBack(opening(1), instruction::refused, 212 + i);
+    refuseByAll(1, 212);
 
     CHECK_EQUAL(0, output.toClients.size());
 }
@@ -612,8 +547,7 @@
 // An entry instance with a newer configuration may have placed the first copy.
 TEST(entry_balancer, LaterCopyWithoutRouteIsNotReset)
 {
-    publish(0);
-    receive(opening(1, unknownAddress), 10);
+    publishAndReceive(opening(1, unknownAddress));
 
     CHECK_EQUAL(0, output.toClients.size());
 }
@@ -621,14 +555,10 @@
 // Upstreams that refused a flow recently are used last, but they are used.
 TEST(entry_balancer, FlowIsPlacedAlthoughAllUpstreamsRefusedOneBefore)
 {
-    publish(0);
-    receive(opening(), 10);
-    for (int i = 0; i < 3; ++i)
-        receiveBack(opening(), instruction::refused, 12 + i);
+    publishAndReceive(opening());
+    refuseByAll(0, 12);
     output.toAgents.clear();
-    packet_head other = opening();
-    other.source.port = 9;
-    receive(other, 16);
+    receive(openingFrom(9), 16);
 
     CHECK_EQUAL(1, output.toAgents.size());
 }
@@ -638,8 +568,7 @@
 TEST(entry_balancer, CopyKeepsTheServiceThatItsFlowWasPlacedFor)
 {
     upstreams.upstreams = { record(1) };
-    publish(0);
-    receive(opening(0), 10);
+    publishAndReceive(opening(0));
     upstreams.upstreams = { record(1, "catalog") };
     upstreams.upstreams[0].incarnation = 9;
     publish(1000);
@@ -652,8 +581,7 @@
 // packet. The acknowledgement must reach that upstream.
 TEST(entry_balancer, DenialByTheChosenUpstreamStartsASearchAtTheOthers)
 {
-    publish(0);
-    receive(opening(), 10);
+    publishAndReceive(opening());
     const std::uint32_t chosen = output.toAgents[0].machine;
     output.toAgents.clear();
     receiveBack(packet(), instruction::absent, chosen, "orders", 20);
@@ -669,7 +597,7 @@
 {
     upstreams.upstreams = { record(1, "catalog"), record(2) };
     publish(0);
-    balancer.receiveMessage(1, flow_claim { { { client, ordersAddress } } }, atMilliseconds(10));
+    claim(1, 10);
     receive(packet(), 20);
     receiveBack(packet(), instruction::misdirected, 1, "orders", 22);
 
@@ -682,7 +610,7 @@
 TEST(entry_balancer, MisdirectedPacketOfAnUnrelatedServiceStartsASearch)
 {
     publish(0);
-    balancer.receiveMessage(1, flow_claim { { { client, ordersAddress } } }, atMilliseconds(10));
+    claim(1, 10);
     receive(packet(), 20);
     receiveBack(packet(), instruction::misdirected, 1, "catalog", 22);
 
@@ -693,15 +621,11 @@
 TEST(entry_balancer, UpstreamProbedForItsFormerServiceIsProbedForItsPresentOneAtOnce)
 {
     routes.routes.front().services.push_back({ "catalog", 1 });
-    publish(0);
-    receive(packet(), 10);
+    publishAndReceive(packet());
     output.toAgents.clear();
-    balancer.receiveMessage(
-            2, flow_denial { { client, ordersAddress }, serviceDigest("catalog"), true },
-            atMilliseconds(12));
+    receiveMessage(2, flow_denial { clientFlow, serviceDigest("catalog"), true }, 12);
 
-    CHECK_EQUAL(1, output.toAgents.size());
-    CHECK_EQUAL(2, output.toAgents[0].machine);
+    CHECK_TRUE(onlySentTo(2));
     CHECK_TRUE(output.toAgents[0].head.tag.kind == instruction::probe);
     CHECK_EQUAL(serviceDigest("catalog"), output.toAgents[0].head.tag.value);
 }
@@ -710,14 +634,11 @@
 {
     publish(0);
     receive(packet(), 1000);
-    const flow_key key { client, ordersAddress };
     for (const std::uint32_t machine : { 1U, 2U })
-        balancer.receiveMessage(machine, flow_denial { key, serviceDigest("orders") },
-                                atMilliseconds(1002));
-    balancer.receiveMessage(3, flow_denial { key, serviceDigest("orders"), true },
-                            atMilliseconds(1002));
+        receiveMessage(machine, flow_denial { clientFlow, serviceDigest("orders") }, 1002);
+    receiveMessage(3, flow_denial { clientFlow, serviceDigest("orders"), true }, 1002);
     publish(1004);
-    balancer.tick(atMilliseconds(1008));
+    tick(1008);
 
     CHECK_EQUAL(0, output.toClients.size());
 }
@@ -727,13 +648,12 @@
 TEST(entry_balancer, PacketOfAFormerOwnerGoesToThePresentOne)
 {
     publish(0);
-    const flow_key key { client, ordersAddress };
-    balancer.receiveMessage(1, flow_claim { { key } }, atMilliseconds(10));
+    claim(1, 10);
     receive(packet(), 20);
-    balancer.receiveMessage(2, flow_claim { { key } }, atMilliseconds(21));
+    claim(2, 21);
     receiveBack(packet(), instruction::absent, 1, "orders", 22);
 
-    CHECK_EQUAL(2, balancer.ownerOf(key));
+    CHECK_EQUAL(2, balancer.ownerOf(clientFlow));
     CHECK_EQUAL(2, output.toAgents.back().machine);
     CHECK_EQUAL(0, balancer.openSearches());
 }
@@ -777,19 +697,13 @@
 {
     publish(0);
 
-    const auto summaries = std::ranges::count_if(output.messages, [](const auto &item) {
-        return std::holds_alternative<view_summary>(item.second);
-    });
-    CHECK_EQUAL(3, summaries);
+    CHECK_EQUAL(3, output.sent<view_summary>().size());
 }
 
 TEST(entry_balancer, SummaryOfTheSameContentPostponesTheNextRead)
 {
     publish(0);
-    view_summary summary = balancer.view().summary(atMilliseconds(1500));
-    summary.upstreamRevision.number += 1;
-    summary.age = {};
-    balancer.receiveMessage(1, summary, atMilliseconds(1500));
+    receiveNewerSummary(1500);
 
     CHECK_FALSE(balancer.readDue(atMilliseconds(2400)));
 }
@@ -840,7 +754,7 @@
         view_summary summary = balancer.view().summary(atMilliseconds(at));
         summary.configurationVersion += 1;
         summary.age = {};
-        balancer.receiveMessage(1, summary, atMilliseconds(at));
+        receiveMessage(1, summary, at);
     }
     CHECK_FALSE(balancer.readDue(atMilliseconds(700)));
     CHECK_TRUE(balancer.readDue(atMilliseconds(1200)));
@@ -855,7 +769,7 @@
 // The store may reject the reads of a restarted instance. The seeds are then its only source.
 TEST(entry_balancer, InstanceWithoutViewRequestsItFromItsSeeds)
 {
-    balancer.tick(atMilliseconds(0));
+    tick(0);
 
     CHECK_EQUAL(1, output.messages.size());
     CHECK_EQUAL(99, output.messages[0].first);
@@ -868,8 +782,7 @@
 {
     publishLargeService(0);
     CHECK_TRUE(hellos() < largeService / 4);
-    for (std::int64_t at = 0; at < 50; at += 5)
-        balancer.tick(atMilliseconds(at));
+    tickBetween(0, 50);
     CHECK_EQUAL(largeService, hellos());
     CHECK_FALSE(balancer.ready(atMilliseconds(160)));
     CHECK_TRUE(balancer.ready(atMilliseconds(200)));
@@ -881,9 +794,9 @@
 {
     upstreams.upstreams.clear();
     publish(0);
-    balancer.tick(atMilliseconds(10));
+    tick(10);
     publishLargeService(1000);
-    balancer.tick(atMilliseconds(1001));
+    tick(1001);
 
     CHECK_TRUE(hellos() < largeService / 4);
 }
@@ -891,12 +804,8 @@
 // Agents forget an instance after some missed hellos, so a round must not last longer than that.
 TEST(entry_balancer, HellosToAVeryLargeServiceAreSentWithinOneInterval)
 {
-    upstreams.upstreams.clear();
-    for (std::uint32_t machine = 1; machine <= 3600; ++machine)
-        upstreams.upstreams.push_back(record(machine));
-    publish(0);
-    for (std::int64_t at = 20; at < 500; at += 20)
-        balancer.tick(atMilliseconds(at));
+    publishLargeService(0, 3600);
+    tickBetween(20, 500, 20);
 
     CHECK_EQUAL(3600, hellos());
 }
@@ -905,12 +814,8 @@
 TEST(entry_balancer, EveryAgentOfAVeryLargeServiceGetsAHelloInTime)
 {
     constexpr std::uint32_t veryLargeService = 3600;
-    upstreams.upstreams.clear();
-    for (std::uint32_t machine = 1; machine <= veryLargeService; ++machine)
-        upstreams.upstreams.push_back(record(machine));
-    publish(0);
-    for (std::int64_t at = 0; at < 3000; at += 20)
-        balancer.tick(atMilliseconds(at));
+    publishLargeService(0, veryLargeService);
+    tickBetween(0, 3000, 20);
 
     CHECK_TRUE(hellos() >= veryLargeService);
 }
@@ -927,10 +832,10 @@
 TEST(entry_balancer, InstanceWithoutMessagesFromAgentsIsNotReady)
 {
     publish(0);
-    balancer.receiveMessage(1, load_report {}, atMilliseconds(500));
+    report({ 1 }, 500);
     CHECK_TRUE(balancer.ready(atMilliseconds(1100)));
     CHECK_FALSE(balancer.ready(atMilliseconds(1300)));
-    balancer.receiveMessage(2, load_report {}, atMilliseconds(1400));
+    report({ 2 }, 1400);
     CHECK_TRUE(balancer.ready(atMilliseconds(1500)));
 }
 
@@ -948,7 +853,7 @@
 {
     upstreams.upstreams.push_back(record(50, "unknown"));
     publish(0);
-    balancer.tick(atMilliseconds(500));
+    tick(500);
 
     CHECK_TRUE(hellos() > 0);
     CHECK_TRUE(std::ranges::none_of(output.messages,
@@ -965,8 +870,7 @@
     balancer.finishRead(routes, std::nullopt, atMilliseconds(100), atMilliseconds(100));
     receive(opening(0, unknownAddress), 110);
 
-    CHECK_EQUAL(1, output.toAgents.size());
-    CHECK_EQUAL(50, output.toAgents.front().machine);
+    CHECK_TRUE(onlySentTo(50));
 }
 
 // The claims of its open flows must still arrive when its route is removed and added again.
@@ -976,9 +880,9 @@
     routes.version = 6;
     routes.routes.clear();
     publish(100);
-    balancer.receiveMessage(1, load_report { .bootId = 3 }, atMilliseconds(450));
+    report({ 1 }, 450, 3);
     output.messages.clear();
-    balancer.tick(atMilliseconds(510));
+    tick(510);
 
     CHECK_EQUAL(1, hellos());
     CHECK_EQUAL(1, output.messages.front().first);
@@ -988,8 +892,7 @@
 // were lost each time.
 TEST(entry_balancer, CopyOfAnEntryDoesNotReplaceItsUpstream)
 {
-    upstream_record copy = record(1);
-    copy.id = "i-0-copy";
+    upstream_record copy = entryOfFirst("i-0-copy");
     copy.slots = 9;
     publish(0);
     upstreams.upstreams.push_back(copy);
@@ -1008,12 +911,10 @@
 TEST(entry_balancer, UpstreamIsNotUsedWhileOneOfItsEntriesDrains)
 {
     upstreams.upstreams = { record(1) };
-    upstream_record copy = record(1);
-    copy.id = "i-0-copy";
+    upstream_record copy = entryOfFirst("i-0-copy");
     copy.phase = upstream_phase::draining;
     upstreams.upstreams.push_back(copy);
-    publish(0);
-    receive(opening(), 10);
+    publishAndReceive(opening());
     CHECK_EQUAL(0, output.toAgents.size());
 
     upstreams.upstreams.pop_back();
@@ -1026,13 +927,11 @@
 TEST(entry_balancer, EntryOfAnEarlierStartThatDrainsDoesNotCount)
 {
     upstreams.upstreams = { record(1) };
-    upstream_record former = record(1);
-    former.id = "i-former";
+    upstream_record former = entryOfFirst("i-former");
     former.incarnation = 0;
     former.phase = upstream_phase::draining;
     upstreams.upstreams.push_back(former);
-    publish(0);
-    receive(opening(), 10);
+    publishAndReceive(opening());
 
     CHECK_EQUAL(1, output.toAgents.size());
 }
@@ -1040,8 +939,7 @@
 // A former upstream's entry may be listed beside that of the present one until it lapses.
 TEST(entry_balancer, EntryOfTheUpstreamThatStartedLastCounts)
 {
-    upstream_record former = record(1);
-    former.id = "i-9-former";
+    upstream_record former = entryOfFirst("i-9-former");
     former.incarnation = 0;
     upstreams.upstreams.push_back(former);
     publish(0);
@@ -1055,17 +953,11 @@
 {
     upstreams.upstreams = { record(1), record(2), record(3), record(4), record(5), record(6) };
     publish(0);
-    for (const std::uint32_t machine : { 4U, 5U, 6U })
-        balancer.receiveMessage(machine, load_report { .bootId = 3 }, atMilliseconds(50));
+    report({ 4, 5, 6 }, 50, 3);
     output.messages.clear();
     publish(100);
 
-    std::set<std::uint32_t> receivers;
-    for (const auto &[machine, message] : output.messages) {
-        if (std::holds_alternative<view_summary>(message))
-            receivers.insert(machine);
-    }
-    CHECK_TRUE((receivers == std::set<std::uint32_t> { 4, 5, 6 }));
+    CHECK_TRUE((output.receivers<view_summary>() == std::set<std::uint32_t> { 4, 5, 6 }));
 }
 
 // The list is followed although the configuration cannot be read, and the other way round.
@@ -1093,8 +985,7 @@
 TEST(entry_balancer, SearchOfFewUpstreamsIsNotRelayed)
 {
     publish(0);
-    for (const std::uint32_t machine : { 1U, 2U, 3U })
-        balancer.receiveMessage(machine, load_report { .bootId = machine }, atMilliseconds(0));
+    report({ 1, 2, 3 }, 0, 1);
     receive(packet(), 10);
 
     CHECK_EQUAL(3, probedMachines().size());
@@ -1106,12 +997,8 @@
     publishHeardService(0);
     receive(packet(), 10);
     const auto [helper, request] = relayRequests().front();
-    balancer.receiveMessage(
-            helper,
-            probe_result { request.requestId, { client, ordersAddress }, 0, request.machines },
-            atMilliseconds(16));
-    publish(20);
-    balancer.tick(atMilliseconds(21));
+    receiveMessage(helper, probe_result { request.requestId, clientFlow, 0, request.machines }, 16);
+    publishAndTick(20);
 
     CHECK_EQUAL(1, output.toClients.size());
     CHECK_TRUE(output.toClients.front().head.resets);
@@ -1125,12 +1012,9 @@
     const auto [helper, request] = relayRequests().front();
     std::vector<std::uint32_t> denied = request.machines;
     denied.pop_back();
-    balancer.receiveMessage(
-            helper, probe_result { request.requestId, { client, ordersAddress }, 0, denied },
-            atMilliseconds(32));
+    receiveMessage(helper, probe_result { request.requestId, clientFlow, 0, denied }, 32);
     publish(40);
-    for (std::int64_t at = 41; at < 300; at += 5)
-        balancer.tick(atMilliseconds(at));
+    tickBetween(41, 300);
 
     CHECK_EQUAL(0, output.toClients.size());
     CHECK_EQUAL(1, balancer.openSearches());
@@ -1139,20 +1023,13 @@
 TEST(entry_balancer, OwnerThatARelayFoundGetsTheOtherPackets)
 {
     publishHeardService(0);
-    for (const std::uint32_t sequence : { 100U, 200U }) {
-        packet_head head = packet();
-        head.sequence = sequence;
-        receive(head, 10);
-    }
+    receiveSequences({ 100, 200 }, 10);
     const auto [helper, request] = relayRequests().front();
     const std::uint32_t owner = request.machines[30];
-    balancer.receiveMessage(
-            helper, probe_result { request.requestId, { client, ordersAddress }, owner, {} },
-            atMilliseconds(16));
+    receiveMessage(helper, probe_result { request.requestId, clientFlow, owner, {} }, 16);
 
-    CHECK_EQUAL(owner, balancer.ownerOf({ client, ordersAddress }));
-    CHECK_EQUAL(1, output.toAgents.size());
-    CHECK_EQUAL(owner, output.toAgents.front().machine);
+    CHECK_EQUAL(owner, balancer.ownerOf(clientFlow));
+    CHECK_TRUE(onlySentTo(owner));
     CHECK_EQUAL(200, output.toAgents.front().head.sequence);
 }
 
@@ -1162,8 +1039,7 @@
     publishHeardService(0);
     receive(packet(), 10);
     std::set<std::uint32_t> helpers;
-    for (std::int64_t at = 15; at < 400; at += 5)
-        balancer.tick(atMilliseconds(at));
+    tickBetween(15, 400);
     for (const auto &[machine, request] : relayRequests())
         helpers.insert(machine);
 
--- a/packages/flow/tests/evacuation_test.cpp
+++ b/packages/flow/tests/evacuation_test.cpp
@@ -1,4 +1,5 @@
 #include "entry_balancer_fixture.h"
+#include "flow_agent_fixture.h"
 
 // Evacuated availability zones at an entry instance and at an agent.
 
@@ -18,53 +19,26 @@
         upstreams.evacuation = { { era, ++evacuationRevision }, std::move(zones) };
         publish(at);
     }
-    // Opens flows from new ports. Returns the machines that got their opening packets.
-    std::set<std::uint32_t> placeFlows(std::uint16_t firstPort, std::int64_t at)
-    {
-        output.toAgents.clear();
-        for (std::uint16_t i = 0; i < 60; ++i) {
-            packet_head head = opening();
-            head.source.port = static_cast<std::uint16_t>(firstPort + i);
-            receive(head, at);
-        }
-        std::set<std::uint32_t> machines;
-        for (const sent_packet &sent : output.toAgents)
-            machines.insert(sent.machine);
-        return machines;
-    }
-    std::vector<upstream_notice> noticesTo(std::uint32_t machine) const
-    {
-        std::vector<upstream_notice> notices;
-        for (const auto &[receiver, message] : output.messages) {
-            if (const auto *notice = std::get_if<upstream_notice>(&message);
-                notice != nullptr && receiver == machine)
-                notices.push_back(*notice);
-        }
-        return notices;
-    }
 };
 
 TEST(entry_evacuation, NewFlowsLeaveTheZoneAndReturnWhenItIsTakenBack)
 {
     evacuate({ "zone-a" }, 0);
-    CHECK_TRUE(placeFlows(1000, 10) == std::set<std::uint32_t>({ 2, 3 }));
+    CHECK_TRUE(placeFlows(60, 10, 1000) == std::set<std::uint32_t>({ 2, 3 }));
     evacuate({}, 1000);
-    CHECK_TRUE(placeFlows(2000, 1010) == std::set<std::uint32_t>({ 1, 2, 3 }));
+    CHECK_TRUE(placeFlows(60, 1010, 2000) == std::set<std::uint32_t>({ 1, 2, 3 }));
 }
 
 TEST(entry_evacuation, OpenFlowsStay)
 {
-    publish(0);
-    receive(opening(), 10);
+    publishAndReceive(opening());
     const std::uint32_t owner = output.toAgents.back().machine;
-    balancer.receiveMessage(owner, flow_claim { { { client, ordersAddress } } },
-                            atMilliseconds(12));
+    claim(owner, 12);
     evacuate({ "zone-a", "zone-b" }, 20);
     output.toAgents.clear();
     receive(packet(), 30);
 
-    CHECK_EQUAL(1, output.toAgents.size());
-    CHECK_EQUAL(owner, output.toAgents.front().machine);
+    CHECK_TRUE(onlySentTo(owner));
 }
 
 // Guards against the copy of an opening packet that follows the first one into the zone.
@@ -94,17 +68,15 @@
 TEST(entry_evacuation, AgentThatReportsAnEvacuationGetsNoFlows)
 {
     publish(0);
-    for (const std::uint32_t machine : { 1U, 2U, 3U })
-        balancer.receiveMessage(machine, load_report { .bootId = machine }, atMilliseconds(10));
-    capacity_report report;
-    report.evacuated = true;
-    balancer.receiveMessage(1, report, atMilliseconds(10));
-    CHECK_TRUE(placeFlows(1000, 20) == std::set<std::uint32_t>({ 2, 3 }));
+    report({ 1, 2, 3 }, 10, 1);
+    capacity_report capacity;
+    capacity.evacuated = true;
+    receiveMessage(1, capacity, 10);
+    CHECK_TRUE(placeFlows(60, 20, 1000) == std::set<std::uint32_t>({ 2, 3 }));
     // Without further capacity reports the limit has ended.
     const std::int64_t later = 100 + capacity_report::lifetime.count();
-    for (const std::uint32_t machine : { 1U, 2U, 3U })
-        balancer.receiveMessage(machine, load_report { .bootId = machine }, atMilliseconds(later));
-    CHECK_TRUE(placeFlows(2000, later + 10) == std::set<std::uint32_t>({ 1, 2, 3 }));
+    report({ 1, 2, 3 }, later, 1);
+    CHECK_TRUE(placeFlows(60, later + 10, 2000) == std::set<std::uint32_t>({ 1, 2, 3 }));
 }
 
 // Guards against a list whose set of evacuated zones was read before the present one.
@@ -114,7 +86,7 @@
     upstreams.evacuation = { { era, evacuationRevision - 1 }, {} };
     publish(500);
 
-    CHECK_TRUE(placeFlows(1000, 510) == std::set<std::uint32_t>({ 2, 3 }));
+    CHECK_TRUE(placeFlows(60, 510, 1000) == std::set<std::uint32_t>({ 2, 3 }));
 }
 
 // Guards against flows into a zone whose evacuation the copy of the store does not have yet.
@@ -123,9 +95,9 @@
     evacuate({ "zone-a" }, 0);
     ++era;
     evacuate({}, 1000);
-    CHECK_TRUE(placeFlows(1000, 1010) == std::set<std::uint32_t>({ 2, 3 }));
+    CHECK_TRUE(placeFlows(60, 1010, 1000) == std::set<std::uint32_t>({ 2, 3 }));
     evacuate({}, 4000);
-    CHECK_TRUE(placeFlows(2000, 4010) == std::set<std::uint32_t>({ 1, 2, 3 }));
+    CHECK_TRUE(placeFlows(60, 4010, 2000) == std::set<std::uint32_t>({ 1, 2, 3 }));
 }
 
 TEST(entry_evacuation, AgentsAreNotifiedAtOnceAndAgainAfterARestart)
@@ -136,8 +108,8 @@
     evacuate({ "zone-a" }, 0);
     notifying.finishRead(routes, upstreams, atMilliseconds(0), atMilliseconds(0));
     notifying.tick(atMilliseconds(1));
-    CHECK_TRUE(noticesTo(1).back().evacuated);
-    CHECK_FALSE(noticesTo(2).back().evacuated);
+    CHECK_TRUE(output.sent<upstream_notice>(1).back().evacuated);
+    CHECK_FALSE(output.sent<upstream_notice>(2).back().evacuated);
     for (std::int64_t at = 100; at <= 5000; at += 100)
         notifying.tick(atMilliseconds(at));
     output.messages.clear();
@@ -145,65 +117,50 @@
     for (std::int64_t at = 5100; at <= 5600; at += 100)
         notifying.tick(atMilliseconds(at));
 
-    CHECK_EQUAL(1, noticesTo(2).size());
-    CHECK_EQUAL(0, noticesTo(3).size());
+    CHECK_EQUAL(1, output.sent<upstream_notice>(2).size());
+    CHECK_EQUAL(0, output.sent<upstream_notice>(3).size());
 }
 
-TEST_GROUP(agent_evacuation)
-{
-    fake_codec codec;
-    fake_document_codec documents;
-    recording_agent_output output;
-    recording_observer observer;
-    flow_agent agent { { 3, "orders" }, codec, documents, output, observer };
+namespace {
 
-    void notify(std::uint64_t revision, bool evacuated, std::int64_t at)
-    {
-        agent.receiveMessage(50, upstream_notice { 1, {}, 0, { 1, revision }, evacuated },
-                             atMilliseconds(at));
-    }
-    packet_head opening(std::uint32_t copy = 0) const
-    {
-        packet_head head;
-        head.source = client;
-        head.destination = ordersAddress;
-        head.opens = true;
-        head.acknowledgement = copy;
-        head.tag = { instruction::deliver, serviceDigest("orders") };
-        return head;
-    }
-    void receive(const packet_head &head, std::int64_t at)
+struct evacuated_agent_fixture : public flow_agent_fixture
+{
+    void notifyOf(std::uint64_t revision, bool evacuated, std::int64_t at)
     {
-        agent.receiveFromEntry({ 50, 7000 }, fake_codec::encode(head), atMilliseconds(at));
+        notify({ 1, {}, 0, { 1, revision }, evacuated }, at);
     }
 };
 
+} // namespace
+
+TEST_GROUP_BASE(agent_evacuation, evacuated_agent_fixture) {};
+
 // Guards against an entry instance with an old list.
 TEST(agent_evacuation, OpeningPacketIsReturnedAsRefused)
 {
-    notify(5, true, 0);
+    notifyOf(5, true, 0);
     receive(opening(), 10);
 
     CHECK_EQUAL(0, output.toUpstream.size());
-    CHECK_TRUE(output.toEntries.back().head.tag.kind == instruction::refused);
+    CHECK_TRUE(onlyReturned(instruction::refused));
     CHECK_EQUAL(1, agent.counters().refusedEvacuated);
 }
 
 TEST(agent_evacuation, OlderNoticeDoesNotEndTheEvacuation)
 {
-    notify(5, true, 0);
-    notify(4, false, 10);
+    notifyOf(5, true, 0);
+    notifyOf(4, false, 10);
     CHECK_TRUE(agent.evacuated(atMilliseconds(20)));
-    notify(6, false, 30);
+    notifyOf(6, false, 30);
     CHECK_FALSE(agent.evacuated(atMilliseconds(40)));
-    notify(5, true, 50);
+    notifyOf(5, true, 50);
     CHECK_FALSE(agent.evacuated(atMilliseconds(60)));
 }
 
 // Guards against a lost end of an evacuation that keeps the upstream without flows.
 TEST(agent_evacuation, EvacuationLapsesWithoutNotices)
 {
-    notify(5, true, 0);
+    notifyOf(5, true, 0);
 
     CHECK_TRUE(agent.evacuated(atMilliseconds(2900)));
     CHECK_FALSE(agent.evacuated(atMilliseconds(3100)));
@@ -213,13 +170,9 @@
 TEST(agent_evacuation, CopyOfAnAcceptedOpeningPacketIsPassedOn)
 {
     receive(opening(), 0);
-    packet_head answer;
-    answer.source = ordersAddress;
-    answer.destination = client;
-    answer.opens = answer.acknowledges = true;
-    agent.receiveFromUpstream(fake_codec::encode(answer), atMilliseconds(1));
-    notify(5, true, 100);
-    receive(opening(1), 200);
+    accept(1);
+    notifyOf(5, true, 100);
+    receive(opening(client.port, 1), 200);
 
     CHECK_EQUAL(2, output.toUpstream.size());
 }
--- a/packages/flow/tests/flow_fakes.h
+++ b/packages/flow/tests/flow_fakes.h
@@ -5,6 +5,7 @@
 
 #include <cstring>
 #include <map>
+#include <set>
 
 // Fakes of the interfaces around the flow path.
 
@@ -144,7 +145,36 @@
     packet_head head;
 };
 
-class recording_entry_output final : public entry_output
+// The messages that a process sent to others, oldest first.
+struct recorded_messages
+{
+    std::vector<std::pair<std::uint32_t, peer_message>> messages;
+
+    // Returns the messages of one type, optionally only those to one machine.
+    template<typename Message>
+    std::vector<Message> sent(std::optional<std::uint32_t> receiver = {}) const
+    {
+        std::vector<Message> result;
+        for (const auto &[machine, message] : messages) {
+            const auto *found = std::get_if<Message>(&message);
+            if (found != nullptr && machine == receiver.value_or(machine))
+                result.push_back(*found);
+        }
+        return result;
+    }
+    template<typename Message>
+    std::set<std::uint32_t> receivers() const
+    {
+        std::set<std::uint32_t> result;
+        for (const auto &[machine, message] : messages) {
+            if (std::holds_alternative<Message>(message))
+                result.insert(machine);
+        }
+        return result;
+    }
+};
+
+class recording_entry_output final : public entry_output, public recorded_messages
 {
 public:
     void sendToAgent(std::uint32_t machine, base::byte_view packet) override
@@ -163,10 +193,9 @@
     fake_codec codec;
     std::vector<sent_packet> toAgents;
     std::vector<sent_packet> toClients;
-    std::vector<std::pair<std::uint32_t, peer_message>> messages;
 };
 
-class recording_agent_output final : public agent_output
+class recording_agent_output final : public agent_output, public recorded_messages
 {
 public:
     void sendToUpstream(base::byte_view packet) override
@@ -190,24 +219,11 @@
         messages.emplace_back(machine, message);
     }
 
-    // Returns the messages of one type, oldest first.
-    template<typename Message>
-    std::vector<Message> sent() const
-    {
-        std::vector<Message> result;
-        for (const auto &[machine, message] : messages) {
-            if (const auto *found = std::get_if<Message>(&message))
-                result.push_back(*found);
-        }
-        return result;
-    }
-
     fake_codec codec;
     std::vector<packet_head> toUpstream;
     std::vector<sent_packet> toClients;
     std::vector<sent_packet> toAgents;
     std::vector<sent_packet> toEntries;
-    std::vector<std::pair<std::uint32_t, peer_message>> messages;
 };
 
 // Of the randomised runs: every second group of four seeds has one. The first three seeds, whose
--- a/packages/flow/tests/former_service_test.cpp
+++ b/packages/flow/tests/former_service_test.cpp
@@ -10,21 +10,19 @@
 // new flows to another service: it has not seen the version that allowed the flow.
 TEST(former_service, FlowOfAFormerServiceIsFoundByAnInstanceThatJoinedLater)
 {
-    const flow_key key { client, ordersAddress };
     publishWithFormerService(0);
     receive(packet(), 1000);
     CHECK_TRUE((probedMachines() == std::set<std::uint32_t> { 4 }));
-    balancer.receiveMessage(4, flow_denial { key, serviceDigest("catalog") }, atMilliseconds(1002));
+    receiveMessage(4, flow_denial { clientFlow, serviceDigest("catalog") }, 1002);
     publish(1004);
-    balancer.tick(atMilliseconds(1008));
+    tick(1008);
 
     CHECK_EQUAL(0, output.toClients.size());
     CHECK_TRUE((probedMachines() == std::set<std::uint32_t> { 1, 2, 3, 4 }));
-    balancer.receiveMessage(2, flow_claim { { key } }, atMilliseconds(1010));
+    claim(2, 1010);
     output.toAgents.clear();
     receive(packet(), 1020);
-    CHECK_EQUAL(1, output.toAgents.size());
-    CHECK_EQUAL(2, output.toAgents.front().machine);
+    CHECK_TRUE(onlySentTo(2));
     CHECK_EQUAL(serviceDigest("orders"), output.toAgents.front().head.tag.value);
 }
 
@@ -34,11 +32,11 @@
 {
     publishWithFormerService(0);
     receive(packet(), 1000);
-    balancer.receiveMessage(4, flow_denial { { client, ordersAddress } }, atMilliseconds(1002));
+    deny({ 4 }, 1002);
     publish(1004);
-    balancer.tick(atMilliseconds(1008));
+    tick(1008);
     denyAll(1010);
-    balancer.tick(atMilliseconds(1011));
+    tick(1011);
 
     CHECK_EQUAL(1, output.toClients.size());
     CHECK_TRUE(output.toClients.front().head.resets);
@@ -51,8 +49,7 @@
 {
     publishWithFormerService(0);
     receive(packet(), 1000);
-    for (std::int64_t at = 1005; at < 1260; at += 5)
-        balancer.tick(atMilliseconds(at));
+    tickBetween(1005, 1260);
 
     CHECK_TRUE((probedMachines() == std::set<std::uint32_t> { 1, 2, 3, 4 }));
     CHECK_EQUAL(0, output.toClients.size());
@@ -63,14 +60,9 @@
 TEST(former_service, AgentsOfServicesWithoutARouteGetHellos)
 {
     publishWithFormerService(0);
-    balancer.tick(atMilliseconds(500));
-
-    std::set<std::uint32_t> machines;
-    for (const auto &[machine, message] : output.messages) {
-        if (std::holds_alternative<entry_hello>(message))
-            machines.insert(machine);
-    }
-    CHECK_TRUE((machines == std::set<std::uint32_t> { 1, 2, 3, 4 }));
+    tick(500);
+
+    CHECK_TRUE((output.receivers<entry_hello>() == std::set<std::uint32_t> { 1, 2, 3, 4 }));
 }
 
 // Entries of other writers name machines where nobody answers; the client of a lost flow would wait
@@ -78,12 +70,10 @@
 TEST(former_service, EntryOfAnUnknownServiceDoesNotDelayResets)
 {
     upstreams.upstreams.push_back(record(50, "unknown"));
-    publish(0);
-    receive(packet(), 10);
+    publishAndReceive(packet());
     denyAll(12);
-    balancer.receiveMessage(4, flow_denial { { client, ordersAddress } }, atMilliseconds(12));
-    publish(500);
-    balancer.tick(atMilliseconds(501));
+    deny({ 4 }, 12);
+    publishAndTick(500);
 
     CHECK_EQUAL(1, output.toClients.size());
     CHECK_FALSE(probedMachines().contains(50));
@@ -95,11 +85,10 @@
 {
     upstreams.upstreams.push_back(record(50, "unknown"));
     publish(0);
-    balancer.receiveMessage(50, load_report { .bootId = 3 }, atMilliseconds(5));
+    report({ 50 }, 5, 3);
     receive(packet(), 10);
     denyAll(12);
-    publish(500);
-    balancer.tick(atMilliseconds(501));
+    publishAndTick(500);
 
     CHECK_EQUAL(0, output.toClients.size());
     CHECK_TRUE(probedMachines().contains(50));
@@ -109,29 +98,18 @@
 TEST(former_service, ServiceWithWeightZeroIsSearchedAndGetsNoNewFlows)
 {
     routes.routes.front().services = { { "catalog", 0 }, { "orders", 1 } };
-    publish(0);
-    receive(packet(), 10);
+    publishAndReceive(packet());
     CHECK_TRUE(probedMachines().contains(4));
 
-    output.toAgents.clear();
-    for (std::uint16_t port = 1; port <= 50; ++port) {
-        packet_head head = opening();
-        head.source.port = port;
-        receive(head, 20);
-    }
+    CHECK_FALSE(placeFlows(50, 20).contains(4));
     CHECK_EQUAL(50, output.toAgents.size());
-    CHECK_TRUE(std::ranges::none_of(output.toAgents,
-                                    [](const sent_packet &sent) { return sent.machine == 4; }));
 }
 
 // A flow that no service takes is refused at once; open flows of the route stay where they are.
 TEST(former_service, RouteWithoutAServiceThatTakesFlowsKeepsItsOpenFlows)
 {
     routes.routes.front().services = { { "orders", 0 } };
-    publish(0);
-    packet_head other = opening();
-    other.source.port = 9;
-    receive(other, 10);
+    publishAndReceive(openingFrom(9));
     CHECK_EQUAL(0, output.toAgents.size());
     CHECK_EQUAL(1, output.toClients.size());
 
@@ -144,15 +122,11 @@
 // denied a packet that it did not pass on.
 TEST(former_service, AgentOfAnUnexpectedServiceIsProbedForIt)
 {
-    publish(0);
-    receive(packet(), 10);
+    publishAndReceive(packet());
     output.toAgents.clear();
-    balancer.receiveMessage(
-            2, flow_denial { { client, ordersAddress }, serviceDigest("orders-former"), true },
-            atMilliseconds(12));
+    receiveMessage(2, flow_denial { clientFlow, serviceDigest("orders-former"), true }, 12);
 
-    CHECK_EQUAL(1, output.toAgents.size());
-    CHECK_EQUAL(2, output.toAgents.front().machine);
+    CHECK_TRUE(onlySentTo(2));
     CHECK_EQUAL(serviceDigest("orders-former"), output.toAgents.front().head.tag.value);
 }
 
@@ -161,7 +135,7 @@
 TEST(former_service, OwnerThatReturnsAMisdirectedPacketHasNotDenied)
 {
     publish(0);
-    balancer.receiveMessage(1, flow_claim { { { client, ordersAddress } } }, atMilliseconds(10));
+    claim(1, 10);
     receive(packet(), 20);
     receiveBack(packet(), instruction::misdirected, 1, "catalog", 22);
 
--- a/packages/flow/tests/used_port_test.cpp
+++ b/packages/flow/tests/used_port_test.cpp
@@ -13,8 +13,7 @@
     publish(0);
     receive(openingWithSequence(700), 10);
     const std::uint32_t former = output.toAgents.back().machine;
-    balancer.receiveMessage(former, flow_claim { { { client, ordersAddress } } },
-                            atMilliseconds(20));
+    claim(former, 20);
     upstreams.upstreams[former - 1].phase = upstream_phase::draining;
     publish(1000);
     for (std::uint32_t copy = 0; copy < 3; ++copy) {
@@ -29,7 +28,7 @@
 TEST(used_port, NewFlowFromAPortOfAClaimedFlowDoesNotGoToADrainingUpstream)
 {
     publish(0);
-    balancer.receiveMessage(1, flow_claim { { { client, ordersAddress } } }, atMilliseconds(20));
+    claim(1, 20);
     upstreams.upstreams[0].phase = upstream_phase::draining;
     publish(1000);
     receive(openingWithSequence(900, 1), 5000);
@@ -42,8 +41,7 @@
 {
     publish(0);
     receive(openingWithSequence(700), 10);
-    balancer.receiveMessage(output.toAgents.back().machine,
-                            flow_claim { { { client, ordersAddress } } }, atMilliseconds(20));
+    claim(output.toAgents.back().machine, 20);
     routes.version = 6;
     routes.routes.clear();
     publish(1000);
@@ -57,7 +55,7 @@
 TEST(used_port, NewFlowFromAUsedPortGoesToThePresentServiceOfItsRoute)
 {
     publish(0);
-    balancer.receiveMessage(1, flow_claim { { { client, ordersAddress } } }, atMilliseconds(20));
+    claim(1, 20);
     routes.version = 6;
     routes.routes.front().services = { { "catalog", 1 } };
     publish(1000);
@@ -71,8 +69,7 @@
 // Otherwise the answer to a probe for the former flow makes its upstream the owner of the new one.
 TEST(used_port, NewFlowFromAUsedPortEndsTheSearchForTheFormerOne)
 {
-    publish(0);
-    receive(packet(), 10);
+    publishAndReceive(packet());
     CHECK_EQUAL(1, balancer.openSearches());
     receive(openingWithSequence(900), 15);
 
@@ -85,15 +82,13 @@
     publish(0);
     receive(openingWithSequence(700), 10);
     const std::uint32_t owner = output.toAgents.back().machine;
-    balancer.receiveMessage(owner, flow_claim { { { client, ordersAddress } } },
-                            atMilliseconds(20));
+    claim(owner, 20);
     receive(openingWithSequence(700, 1), 215);
     CHECK_EQUAL(owner, output.toAgents.back().machine);
 
     packet_head other = openingWithSequence(800, 2);
     other.source.port = 9;
-    balancer.receiveMessage(2, flow_claim { { { other.source, ordersAddress } } },
-                            atMilliseconds(220));
+    receiveMessage(2, flow_claim { { { other.source, ordersAddress } } }, 220);
     receive(other, 620);
     CHECK_EQUAL(2, output.toAgents.back().machine);
 }
