Move the sending of tagged packets out of entry_balancer

Cause: the search for a flow's owner is to become a class of its own, and it sends tagged packets as entry_balancer does.

Change: the new class tagged_sender tags packets and sends them to agents; entry_output has a header of its own. No change of behaviour.

Measured: flow_test passes (311 tests).

--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "oriolehold/flow/entry_output.h"
 #include "oriolehold/flow/first_use_delay.h"
 #include "oriolehold/flow/flow_observer.h"
 #include "oriolehold/flow/flow_search.h"
@@ -10,6 +11,7 @@
 #include "oriolehold/flow/probe_window.h"
 #include "oriolehold/flow/read_schedule.h"
 #include "oriolehold/flow/reset_reason.h"
+#include "oriolehold/flow/tagged_sender.h"
 #include "oriolehold/flow/upstream_directory.h"
 #include "oriolehold/flow/view_exchange.h"
 
@@ -23,14 +25,6 @@
 
 namespace oriolehold::flow {
 
-// Sends the packets of an entry instance. machine and client are IPv4 addresses.
-class entry_output : public message_output
-{
-public:
-    virtual void sendToAgent(std::uint32_t machine, base::byte_view packet) = 0;
-    virtual void sendToClient(std::uint32_t client, base::byte_view packet) = 0;
-};
-
 struct entry_identity
 {
     std::uint64_t bootId = 0; // random number of the process
@@ -158,11 +152,6 @@
     void placeFlow(const packet_head &head, base::byte_view packet, const flow_route &route,
                    base::time_point now);
     void forward(const owner &item, const base::endpoint &service, base::byte_view packet);
-    // Without a route the tag has the default priority and no times.
-    static packet_tag tagOf(packet_tag::instruction kind, std::uint32_t digest,
-                            const flow_route *route);
-    void sendTagged(packet_tag::instruction kind, std::uint32_t digest, const flow_route *route,
-                    std::uint32_t machine, base::byte_view packet);
     // Starts a search, or a new round of it, with a packet of the client.
     void searchOwner(const flow_key &key, const flow_route &route, const packet_head &head,
                      base::byte_view packet, std::uint32_t excluded, base::time_point now);
@@ -249,6 +238,7 @@
     const packet_codec &m_codec;
     placement_policy &m_policy;
     entry_output &m_output;
+    tagged_sender m_sender;
     flow_observer &m_observer;
 
     view_exchange m_view;
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -46,7 +46,7 @@
                                const document_codec &documents, placement_policy &policy,
                                entry_output &output, flow_observer &observer)
     : m_identity(std::move(identity)), m_codec(codec), m_policy(policy), m_output(output),
-      m_observer(observer), m_view(documents, output, *this),
+      m_sender(codec, output), m_observer(observer), m_view(documents, output, *this),
       m_schedule(m_identity.bootId, !m_identity.isSeed && !m_identity.seeds.empty()),
       m_firstUse(m_identity.firstUseDelay)
 { }
@@ -226,25 +226,7 @@
 void entry_balancer::forward(const owner &item, const base::endpoint &service,
                              base::byte_view packet)
 {
-    sendTagged(instruction::deliver, item.serviceDigest, routeOf(service), item.machine, packet);
-}
-
-void entry_balancer::sendTagged(instruction kind, std::uint32_t digest, const flow_route *route,
-                                std::uint32_t machine, base::byte_view packet)
-{
-    m_codec.copyTagged(packet, tagOf(kind, digest, route), m_scratch);
-    m_output.sendToAgent(machine, m_scratch);
-}
-
-packet_tag entry_balancer::tagOf(instruction kind, std::uint32_t digest, const flow_route *route)
-{
-    packet_tag tag { kind, digest };
-    if (route != nullptr) {
-        tag.priority = route->priority;
-        tag.latencyObjective = route->latencyObjective;
-        tag.timeout = route->timeout;
-    }
-    return tag;
+    m_sender.send(instruction::deliver, item.serviceDigest, routeOf(service), item.machine, packet);
 }
 
 void entry_balancer::receiveReturned(const packet_head &head, base::byte_view packet,
--- a/packages/flow/src/owner_search.cpp
+++ b/packages/flow/src/owner_search.cpp
@@ -175,8 +175,8 @@
     flow_search &state = found->second;
     if (denial.misdirected) {
         // The list here is older than the upstream; the agent names the upstream's present service.
-        sendTagged(instruction::probe, denial.serviceDigest, route, machine,
-                   state.currentPacket().bytes);
+        m_sender.send(instruction::probe, denial.serviceDigest, route, machine,
+                      state.currentPacket().bytes);
         ++state.probes;
         ++m_counters.probes;
         return;
--- a/packages/flow/src/probe_dispatch.cpp
+++ b/packages/flow/src/probe_dispatch.cpp
@@ -44,8 +44,8 @@
                            search_candidate &item, std::size_t packet, base::time_point now)
 {
     const known_upstream *known = m_directory.find(item.machine);
-    sendTagged(instruction::probe, known->serviceDigest(), &route, item.machine,
-               state.packets[packet].bytes);
+    m_sender.send(instruction::probe, known->serviceDigest(), &route, item.machine,
+                  state.packets[packet].bytes);
     item.received.set(packet);
     item.lastProbeAt = now;
     if (item.firstProbeAt == base::time_point {})
@@ -161,9 +161,10 @@
                 item->firstProbeAt = now;
         }
         relayed += request.candidates.size();
-        m_codec.copyTagged(packet, tagOf(instruction::probe, digest, &route), m_scratch);
-        m_output.sendMessage(request.machine,
-                             probe_request { request.id, request.candidates, m_scratch });
+        m_output.sendMessage(
+                request.machine,
+                probe_request { request.id, request.candidates,
+                                m_sender.tagged(instruction::probe, digest, &route, packet) });
         m_probeWindow.sent();
         m_awaitedResults.push_back({ key, request.id, now });
         state.probes += static_cast<std::uint32_t>(request.candidates.size());
