Separate the flow table from the searches in entry_balancer

Cause: the search for a flow's owner is to become a class of its own. The handling of claims, denials, results and ticks mixed it with the table of owners, the list and the unlisted agents.

Change: these functions are split into one for the table and one for the search, and moved to the file of their part. No change of behaviour.

Measured: flow_test passes (311 tests).

--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -213,6 +213,22 @@
     bool allDeny(const flow_route &route, const flow_search &state) const;
     // Whether no instance has placed a flow of the route on an upstream that the list lacks.
     bool listIsComplete(const flow_route &route, base::time_point now);
+    // Whether an agent reports although its upstream is not listed; the upstream may register
+    // again.
+    bool listMayLackUpstreams(base::time_point now) const;
+    // Ends the search of a flow whose owner is found, and forwards the packets that the owner has
+    // not got.
+    void endSearch(const flow_key &key, const known_upstream &upstream, base::time_point now);
+    // Notes that the candidate on the machine denies the flow.
+    void noteDenial(const flow_denial &denial, std::uint32_t machine, base::time_point now);
+    // Notes the answers that an agent has collected. Returns the machine of the owner if one of
+    // them is a claim of a flow that is searched for, else 0.
+    std::uint32_t noteResult(const probe_result &result, base::time_point now);
+    void forgetSearch(const flow_key &key);
+    // Performs the actions of the searches that are due.
+    void advanceSearches(base::time_point now);
+    // Time of the next action of a search.
+    base::time_point nextSearchAction() const;
     // Describes the state of a search in a decision.
     flow_decision describe(decision_kind kind, const flow_key &key, const flow_search &state,
                            base::time_point now) const;
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -141,11 +141,7 @@
 void entry_balancer::forgetFlow(const flow_key &key)
 {
     m_owners.erase(key);
-    const auto found = m_searches.find(key);
-    if (found == m_searches.end())
-        return;
-    withdrawProbes(found->second);
-    m_searches.erase(found);
+    forgetSearch(key);
 }
 
 const std::string *entry_balancer::chooseService(const flow_route &route, const flow_key &key)
@@ -311,6 +307,43 @@
         m_view.receive(machine, message, now);
 }
 
+void entry_balancer::receiveClaim(const flow_key &key, std::uint32_t machine, base::time_point now)
+{
+    const known_upstream *known = m_directory.find(machine);
+    if (known == nullptr)
+        return; // the list with this upstream has not arrived yet; a later packet starts a search
+    owner &item = m_owners[key];
+    if (item.confirmed && item.machine != machine) {
+        ++m_counters.changed;
+        m_observer.decisionMade({ .kind = decision_kind::ownerChanged,
+                                  .flow = key,
+                                  .machine = machine,
+                                  .formerMachine = item.machine,
+                                  .upstream = known->record.id });
+    }
+    item.machine = machine;
+    item.lastSeen = base::unixSeconds(now);
+    item.serviceDigest = known->serviceDigest();
+    item.confirmed = true;
+    endSearch(key, *known, now);
+}
+
+void entry_balancer::receiveDenial(const flow_denial &denial, std::uint32_t machine,
+                                   base::time_point now)
+{
+    // A denial may arrive after a claim that the agent sent before it.
+    const auto known = m_owners.find(denial.flow);
+    if (known != m_owners.end() && known->second.machine == machine && !denial.misdirected)
+        m_owners.erase(known);
+    noteDenial(denial, machine, now);
+}
+
+void entry_balancer::receiveResult(const probe_result &result, base::time_point now)
+{
+    if (const std::uint32_t machine = noteResult(result, now); machine != 0)
+        receiveClaim(result.flow, machine, now);
+}
+
 void entry_balancer::receiveCapacity(std::uint32_t machine, const capacity_report &report,
                                      base::time_point now)
 {
@@ -419,6 +452,22 @@
         m_firstUse.update(list, readAt, now, isKnown);
 }
 
+bool entry_balancer::listIsComplete(const flow_route &route, base::time_point now)
+{
+    return m_firstUse.enabled() && std::ranges::any_of(route.services, &weighted_service::weight)
+            && std::ranges::all_of(route.services, [&](const weighted_service &service) {
+                   return service.weight == 0
+                           || m_firstUse.isComplete(m_directory.eligible(service.name), now);
+               });
+}
+
+bool entry_balancer::listMayLackUpstreams(base::time_point now) const
+{
+    return std::ranges::any_of(m_unlistedAgents, [&](const auto &agent) {
+        return now - agent.second < upstream_directory::reregistrationTime;
+    });
+}
+
 void entry_balancer::applyEvacuation(const zone_evacuation &evacuation, base::time_point now)
 {
     const std::vector<std::string> former = m_directory.evacuatedZones();
@@ -530,13 +579,7 @@
         sendHellos(now);
     if (now >= m_nextExpiry)
         expireOwners(now);
-    // A claim may have ended the last search; the update stops the wake-ups.
-    expireProbes(now);
-    expireRelays(now);
-    continueSearches(now);
-    const bool searching = !m_searches.empty() || m_searchNeedsRead || m_searchInProgress;
-    if (searching && now >= m_nextSearchUpdate)
-        updateSearches(now);
+    advanceSearches(now);
     if (!m_view.complete() && now >= m_nextSeedRequest) {
         m_nextSeedRequest = now + seedInterval;
         for (const std::uint32_t machine : m_identity.seeds)
@@ -544,9 +587,7 @@
     }
     base::time_point next = std::min(m_nextHello, m_nextExpiry);
     next = std::min(next, m_schedule.next(m_view.readAt(), m_view.complete()));
-    if (m_searchNeedsRead || m_searchInProgress)
-        next = std::min(next, m_nextSearchUpdate);
-    next = std::min(next, nextProbeExpiry());
+    next = std::min(next, nextSearchAction());
     if (m_firstUse.enabled())
         next = std::min(next, now + first_use_delay::stallTime / 2);
     return std::max(next - now, base::duration::zero());
--- a/packages/flow/src/owner_search.cpp
+++ b/packages/flow/src/owner_search.cpp
@@ -122,24 +122,10 @@
              .unanswered = static_cast<std::uint32_t>(unanswered) };
 }
 
-void entry_balancer::receiveClaim(const flow_key &key, std::uint32_t machine, base::time_point now)
+void entry_balancer::endSearch(const flow_key &key, const known_upstream &upstream,
+                               base::time_point now)
 {
-    const known_upstream *known = m_directory.find(machine);
-    if (known == nullptr)
-        return; // the list with this upstream has not arrived yet; a later packet starts a search
-    owner &item = m_owners[key];
-    if (item.confirmed && item.machine != machine) {
-        ++m_counters.changed;
-        m_observer.decisionMade({ .kind = decision_kind::ownerChanged,
-                                  .flow = key,
-                                  .machine = machine,
-                                  .formerMachine = item.machine,
-                                  .upstream = known->record.id });
-    }
-    item.machine = machine;
-    item.lastSeen = base::unixSeconds(now);
-    item.serviceDigest = known->serviceDigest();
-    item.confirmed = true;
+    const std::uint32_t machine = upstream.machine();
     const auto found = m_searches.find(key);
     if (found == m_searches.end())
         return;
@@ -147,7 +133,8 @@
     const auto probed = std::ranges::find(state.candidates, machine, &search_candidate::machine);
     for (std::size_t i = 0; i < state.packets.size(); ++i) {
         if (probed == state.candidates.end() || !probed->received.test(i))
-            forward(item, key.service, state.packets[i].bytes);
+            m_sender.send(instruction::deliver, upstream.serviceDigest(), routeOf(key.service),
+                          machine, state.packets[i].bytes);
     }
     if (probed != state.candidates.end() && state.endWait(*probed))
         m_probeWindow.answered();
@@ -155,19 +142,15 @@
     ++m_counters.found;
     flow_decision decision = describe(decision_kind::ownerFound, key, state, now);
     decision.machine = machine;
-    decision.upstream = known->record.id;
+    decision.upstream = upstream.record.id;
     m_observer.decisionMade(decision);
     m_searches.erase(found);
     continueSearches(now);
 }
 
-void entry_balancer::receiveDenial(const flow_denial &denial, std::uint32_t machine,
-                                   base::time_point now)
+void entry_balancer::noteDenial(const flow_denial &denial, std::uint32_t machine,
+                                base::time_point now)
 {
-    // A denial may arrive after a claim that the agent sent before it.
-    const auto known = m_owners.find(denial.flow);
-    if (known != m_owners.end() && known->second.machine == machine && !denial.misdirected)
-        m_owners.erase(known);
     const auto found = m_searches.find(denial.flow);
     const flow_route *route = routeOf(denial.flow.service);
     if (found == m_searches.end() || route == nullptr)
@@ -198,13 +181,30 @@
     });
 }
 
-bool entry_balancer::listIsComplete(const flow_route &route, base::time_point now)
+void entry_balancer::forgetSearch(const flow_key &key)
 {
-    return m_firstUse.enabled() && std::ranges::any_of(route.services, &weighted_service::weight)
-            && std::ranges::all_of(route.services, [&](const weighted_service &service) {
-                   return service.weight == 0
-                           || m_firstUse.isComplete(m_directory.eligible(service.name), now);
-               });
+    const auto found = m_searches.find(key);
+    if (found == m_searches.end())
+        return;
+    withdrawProbes(found->second);
+    m_searches.erase(found);
+}
+
+void entry_balancer::advanceSearches(base::time_point now)
+{
+    expireProbes(now);
+    expireRelays(now);
+    continueSearches(now);
+    // A claim may have ended the last search; the update stops the wake-ups.
+    const bool searching = !m_searches.empty() || m_searchNeedsRead || m_searchInProgress;
+    if (searching && now >= m_nextSearchUpdate)
+        updateSearches(now);
+}
+
+base::time_point entry_balancer::nextSearchAction() const
+{
+    const base::time_point next = nextProbeExpiry();
+    return m_searchNeedsRead || m_searchInProgress ? std::min(next, m_nextSearchUpdate) : next;
 }
 
 void entry_balancer::updateSearches(base::time_point now)
@@ -266,11 +266,7 @@
     const bool listIsNewer = m_directory.readAt() > state.startedAt;
     const bool listSuffices = listIsNewer || listSufficesFor(*route);
     m_searchNeedsRead = m_searchNeedsRead || !listSuffices;
-    // The upstream of an agent that reports although it is not listed may register again.
-    const bool listMayBeIncomplete = std::ranges::any_of(m_unlistedAgents, [&](const auto &agent) {
-        return now - agent.second < upstream_directory::reregistrationTime;
-    });
-    if (!listSuffices || listMayBeIncomplete)
+    if (!listSuffices || listMayLackUpstreams(now))
         return false;
     m_counters.waitsAvoided += listIsNewer ? 0 : 1;
     resetClient(state.currentPacket().head,
--- a/packages/flow/src/probe_dispatch.cpp
+++ b/packages/flow/src/probe_dispatch.cpp
@@ -174,11 +174,11 @@
     due.erase(due.begin(), due.begin() + static_cast<std::ptrdiff_t>(relayed));
 }
 
-void entry_balancer::receiveResult(const probe_result &result, base::time_point now)
+std::uint32_t entry_balancer::noteResult(const probe_result &result, base::time_point now)
 {
     const auto found = m_searches.find(result.flow);
     if (found == m_searches.end())
-        return;
+        return 0;
     flow_search &state = found->second;
     const auto request = std::ranges::find(state.relays, result.requestId, &relay_request::id);
     const bool inTime = request != state.relays.end();
@@ -194,14 +194,13 @@
         state.relays.erase(request);
         m_probeWindow.answered();
     }
-    if (result.owner != 0) {
-        receiveClaim(result.flow, result.owner, now);
-        return;
-    }
+    if (result.owner != 0)
+        return result.owner;
     if (state.packetsDue)
         m_nextSearchUpdate = now;
     endIfDenied(result.flow, state, now);
     continueSearches(now);
+    return 0;
 }
 
 void entry_balancer::expireRelays(base::time_point now)
