Make the search for a flow's owner a class of its own

Cause: the search was spread over two source files of entry_balancer and used all of its members.

Change: owner_search searches and probes. It reads the directory, the routes and the list through the interface search_view, and gets the output, the observer and the counters through its constructor. entry_balancer implements the interface, keeps the table of owners, and passes packets, messages and ticks on. No change of behaviour; the counters, decisions and metrics are kept.

--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -3,12 +3,11 @@
 #include "oriolehold/flow/entry_output.h"
 #include "oriolehold/flow/first_use_delay.h"
 #include "oriolehold/flow/flow_observer.h"
-#include "oriolehold/flow/flow_search.h"
 #include "oriolehold/flow/notice_schedule.h"
+#include "oriolehold/flow/owner_search.h"
 #include "oriolehold/flow/packet.h"
 #include "oriolehold/flow/peer_message.h"
 #include "oriolehold/flow/placement_policy.h"
-#include "oriolehold/flow/probe_window.h"
 #include "oriolehold/flow/read_schedule.h"
 #include "oriolehold/flow/reset_reason.h"
 #include "oriolehold/flow/tagged_sender.h"
@@ -18,8 +17,6 @@
 #include <boost/unordered/unordered_flat_map.hpp>
 #include <boost/unordered/unordered_flat_set.hpp>
 
-#include <deque>
-
 // Decides for an entry instance which upstream takes a new flow, which upstream holds an open flow,
 // and when a client's flow is reset because no upstream holds it.
 
@@ -37,32 +34,24 @@
 };
 
 // Totals since the start of the process.
-struct entry_counters
+struct entry_counters : search_counters
 {
     std::uint64_t packets = 0;   // received
     std::uint64_t malformed = 0; // packets that could not be decoded
     std::uint64_t knownFlow = 0; // packets of clients forwarded to the known owner
     std::uint64_t placed = 0;    // opening packets given to their first upstream
     std::uint64_t replaced = 0;  // opening packets given to another upstream after a refusal
-    std::uint64_t searches = 0;  // started
-    std::uint64_t widened = 0;   // searches that were extended to all services
-    std::uint64_t probes = 0;    // sent
-    std::uint64_t relays = 0;    // requests to agents that probe on behalf of this instance
-    std::uint64_t found = 0;     // searches that a claim ended
-    std::uint64_t abandoned = 0; // searches that ended without a claim or a reset
     std::uint64_t changed = 0;   // claims for a flow that another agent had claimed before
     std::uint64_t resets = 0;    // sent to clients
     std::uint64_t dropped = 0;   // packets discarded
     std::uint64_t storeRestores = 0;
     std::uint64_t refusedEvacuated = 0; // opening packets: the service's zones are evacuated
-    // Resets that did not wait for a list newer than the search.
-    std::uint64_t waitsAvoided = 0;
     // Opening packets for which new upstreams were left out.
     std::uint64_t firstUsesDelayed = 0;
     reset_counters resetsByReason;
 };
 
-class entry_balancer final : private view_listener
+class entry_balancer final : private view_listener, private search_view, private reset_output
 {
 public:
     // The references must outlive the object.
@@ -95,11 +84,11 @@
     bool isolated(base::time_point now) const;
 
     const view_exchange &view() const { return m_view; }
-    const upstream_directory &directory() const { return m_directory; }
+    const upstream_directory &directory() const override { return m_directory; }
     // IPv4 address of the upstream that holds the flow; 0 when the flow is not in the table.
     std::uint32_t ownerOf(const flow_key &key) const;
     std::size_t knownFlows() const { return m_owners.size(); }
-    std::size_t openSearches() const { return m_searches.size(); }
+    std::size_t openSearches() const { return m_search.openSearches(); }
     const entry_counters &counters() const { return m_counters; }
 
 private:
@@ -124,16 +113,20 @@
     void routesChanged(const flow_configuration &configuration) override;
     void upstreamsUpdated(const upstream_list &list, base::time_point readAt,
                           base::time_point now) override;
+    std::uint64_t configurationVersion() const override { return m_view.configuration().version; }
+    const flow_route *routeOf(const base::endpoint &service) const override;
+    bool isKnownService(const upstream_record &record) const override;
+    bool listIsComplete(const flow_route &route, base::time_point now) override;
+    bool listMayLackUpstreams(base::time_point now) const override;
+    void resetClient(const packet_head &head, std::string_view reason,
+                     base::time_point now) override;
     // Applies the list to the directory.
     void applyList(const upstream_list &list, base::time_point readAt, base::time_point now);
-    // Whether the configuration has the service; true for all services before the first one.
-    bool isKnownService(const upstream_record &record) const;
     // Whether the upstream's agent needs hellos. Entries of other writers may have a service that
     // the configuration does not have, and name machines without an agent.
     bool needsHello(const known_upstream &upstream, base::time_point now) const;
     // Agents that pass a summary on to all entry instances.
     std::vector<std::uint32_t> relays(base::time_point now) const;
-    const flow_route *routeOf(const base::endpoint &service) const;
     void receiveFromClient(const packet_head &head, base::byte_view packet, base::time_point now);
     void receiveOpening(const packet_head &head, base::byte_view packet, base::time_point now);
     // Forwards a client's packet to the owner in the table.
@@ -152,42 +145,7 @@
     void placeFlow(const packet_head &head, base::byte_view packet, const flow_route &route,
                    base::time_point now);
     void forward(const owner &item, const base::endpoint &service, base::byte_view packet);
-    // Starts a search, or a new round of it, with a packet of the client.
-    void searchOwner(const flow_key &key, const flow_route &route, const packet_head &head,
-                     base::byte_view packet, std::uint32_t excluded, base::time_point now);
-    // Sends the probes of the current round that are due, as far as the window has room.
-    void sendProbes(const flow_key &key, const flow_route &route, flow_search &state,
-                    base::time_point now);
-    // Continues the searches that wait for room in the window, the oldest first.
-    void continueSearches(base::time_point now);
-    // Requests the probes of candidates that are due from other agents, and removes these from due.
-    void relayProbes(const flow_key &key, const flow_route &route, flow_search &state,
-                     std::vector<search_candidate *> &due, base::time_point now);
     void receiveResult(const probe_result &result, base::time_point now);
-    // Ends requests without a result; the candidates are probed from here.
-    void expireRelays(base::time_point now);
-    // Counts probes that were not answered in time.
-    void expireProbes(base::time_point now);
-    // Takes the unanswered probes of a search that ends out of the window.
-    void withdrawProbes(flow_search &state);
-    // Sends the other packets to candidates that have not denied the one that they got: those of a
-    // restarted agent's upstream may be its.
-    void sendKeptPackets(const flow_key &key, const flow_route &route, flow_search &state,
-                         base::time_point now);
-    // Sends one of the kept packets as a probe.
-    void probe(const flow_key &key, const flow_route &route, flow_search &state,
-               search_candidate &item, std::size_t packet, base::time_point now);
-    // Whether the search includes the upstream.
-    bool includes(const flow_route &route, const flow_search &state,
-                  const known_upstream &upstream) const;
-    // Whether the candidate may still hold the flow, and the search includes its upstream.
-    bool isPossible(const flow_route &route, const flow_search &state,
-                    const search_candidate &item) const;
-    // Extends the search to the upstreams of all services.
-    void widen(const flow_route &route, flow_search &state, base::time_point now);
-    // Adds the upstreams of the current view that are no candidates yet; excluded counts as denied.
-    void addCandidates(flow_search &state, const flow_route &route, std::uint32_t excluded,
-                       base::time_point now);
     void receiveDenial(const flow_denial &denial, std::uint32_t machine, base::time_point now);
     void receiveCapacity(std::uint32_t machine, const capacity_report &report,
                          base::time_point now);
@@ -198,40 +156,6 @@
     // else drops the packet.
     void resetOrDrop(const packet_head &head, std::string_view reason, bool certain,
                      base::time_point now);
-    void resetClient(const packet_head &head, std::string_view reason, base::time_point now);
-    // Continues all searches and ends those that have a result or have expired.
-    void updateSearches(base::time_point now);
-    // Continues one search. listSufficesFor tells whether a route's searches need no newer list.
-    // Returns whether the search has ended; the caller removes it.
-    bool updateSearch(const flow_key &key, flow_search &state,
-                      const std::function<bool(const flow_route &)> &listSufficesFor,
-                      base::time_point now);
-    // Ends the search, or extends it, if all of its candidates have denied. An answer continues
-    // only its own search: hundreds may be open after a loss of all machines.
-    void endIfDenied(const flow_key &key, flow_search &state, base::time_point now);
-    // Whether no candidate holds the flow, by the answers so far and by the current list.
-    bool allDeny(const flow_route &route, const flow_search &state) const;
-    // Whether no instance has placed a flow of the route on an upstream that the list lacks.
-    bool listIsComplete(const flow_route &route, base::time_point now);
-    // Whether an agent reports although its upstream is not listed; the upstream may register
-    // again.
-    bool listMayLackUpstreams(base::time_point now) const;
-    // Ends the search of a flow whose owner is found, and forwards the packets that the owner has
-    // not got.
-    void endSearch(const flow_key &key, const known_upstream &upstream, base::time_point now);
-    // Notes that the candidate on the machine denies the flow.
-    void noteDenial(const flow_denial &denial, std::uint32_t machine, base::time_point now);
-    // Notes the answers that an agent has collected. Returns the machine of the owner if one of
-    // them is a claim of a flow that is searched for, else 0.
-    std::uint32_t noteResult(const probe_result &result, base::time_point now);
-    void forgetSearch(const flow_key &key);
-    // Performs the actions of the searches that are due.
-    void advanceSearches(base::time_point now);
-    // Time of the next action of a search.
-    base::time_point nextSearchAction() const;
-    // Describes the state of a search in a decision.
-    flow_decision describe(decision_kind kind, const flow_key &key, const flow_search &state,
-                           base::time_point now) const;
     void expireOwners(base::time_point now);
     // Sends the next hellos of the current round, or begins a round.
     void sendHellos(base::time_point now);
@@ -245,8 +169,6 @@
     bool leavesEvacuatedZone(const owner &item) const;
     // Refuses an opening packet for which there is no upstream.
     void refuseOpening(const packet_head &head, std::string_view service, base::time_point now);
-    // Time of the next missing answer or result of a probe; the maximum time when none is awaited.
-    base::time_point nextProbeExpiry() const;
     // Returns the service for a new flow; nullptr if none of the route's services takes any.
     static const std::string *chooseService(const flow_route &route, const flow_key &key);
 
@@ -266,28 +188,9 @@
     upstream_directory m_directory;
     first_use_delay m_firstUse;
     boost::unordered_flat_map<flow_key, owner, flow_key_hash> m_owners;
-    boost::unordered_flat_map<flow_key, flow_search, flow_key_hash> m_searches;
-    probe_window m_probeWindow;
-    struct awaited_probe
-    {
-        flow_key key;
-        std::uint32_t machine = 0;
-        base::time_point sentAt {};
-    };
-    std::deque<awaited_probe> m_awaitedProbes; // in the order of their times
-    struct awaited_result
-    {
-        flow_key key;
-        std::uint32_t requestId = 0;
-        base::time_point sentAt {};
-    };
-    std::deque<awaited_result> m_awaitedResults; // in the order of their times
-    std::uint32_t m_lastRequestId = 0;
-    std::deque<flow_key> m_probeQueue; // searches that wait for room in the window
     base::time_point m_nextHello {};
     base::time_point m_nextSeedRequest {};
     base::time_point m_nextExpiry {};
-    base::time_point m_nextSearchUpdate {};
     std::vector<std::uint32_t> m_pendingHellos; // machines of the current round
     std::size_t m_hellosPerStep = 0;            // of the current round
     notice_schedule m_notices;
@@ -297,10 +200,9 @@
     // Time of the last message of each agent that is not in the directory, by machine address.
     boost::unordered_flat_map<std::uint32_t, base::time_point> m_unlistedAgents;
     base::time_point m_lastListAt {}; // arrival of the last list, read by any instance
-    bool m_searchNeedsRead = false;   // a search waits for a newer list
-    bool m_searchInProgress = false;  // a search has probes to send
     base::byte_vector m_scratch;
     entry_counters m_counters;
+    owner_search m_search;
 };
 
 } // namespace oriolehold::flow
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -48,7 +48,8 @@
     : m_identity(std::move(identity)), m_codec(codec), m_policy(policy), m_output(output),
       m_sender(codec, output), m_observer(observer), m_view(documents, output, *this),
       m_schedule(m_identity.bootId, !m_identity.isSeed && !m_identity.seeds.empty()),
-      m_firstUse(m_identity.firstUseDelay)
+      m_firstUse(m_identity.firstUseDelay),
+      m_search(m_identity.zone, *this, m_sender, output, *this, observer, m_counters)
 { }
 
 const flow_route *entry_balancer::routeOf(const base::endpoint &service) const
@@ -91,7 +92,7 @@
     else if (const auto item = m_owners.find(key); item != m_owners.end())
         forwardKnown(item->second, key.service, packet, now);
     else if (const flow_route *route = routeOf(key.service))
-        searchOwner(key, *route, head, packet, 0, now);
+        m_search.search(key, *route, head, packet, 0, now);
     else
         ++m_counters.dropped;
 }
@@ -141,7 +142,7 @@
 void entry_balancer::forgetFlow(const flow_key &key)
 {
     m_owners.erase(key);
-    forgetSearch(key);
+    m_search.forget(key);
 }
 
 const std::string *entry_balancer::chooseService(const flow_route &route, const flow_key &key)
@@ -262,7 +263,7 @@
     m_owners.erase(known);
     // A misdirected packet has not reached the upstream, which may hold the flow.
     const bool denied = head.tag.kind == instruction::absent;
-    searchOwner(key, *route, head, packet, denied ? sender : 0, now);
+    m_search.search(key, *route, head, packet, denied ? sender : 0, now);
 }
 
 void entry_balancer::receiveRefused(const packet_head &head, base::byte_view packet,
@@ -325,7 +326,7 @@
     item.lastSeen = base::unixSeconds(now);
     item.serviceDigest = known->serviceDigest();
     item.confirmed = true;
-    endSearch(key, *known, now);
+    m_search.end(key, *known, now);
 }
 
 void entry_balancer::receiveDenial(const flow_denial &denial, std::uint32_t machine,
@@ -335,12 +336,12 @@
     const auto known = m_owners.find(denial.flow);
     if (known != m_owners.end() && known->second.machine == machine && !denial.misdirected)
         m_owners.erase(known);
-    noteDenial(denial, machine, now);
+    m_search.receiveDenial(denial, machine, now);
 }
 
 void entry_balancer::receiveResult(const probe_result &result, base::time_point now)
 {
-    if (const std::uint32_t machine = noteResult(result, now); machine != 0)
+    if (const std::uint32_t machine = m_search.receiveResult(result, now); machine != 0)
         receiveClaim(result.flow, machine, now);
 }
 
@@ -423,7 +424,7 @@
                                       base::time_point now)
 {
     m_lastListAt = now;
-    m_nextSearchUpdate = now;
+    m_search.listChanged(now);
     const bool first = m_directory.readAt() == base::time_point {};
     const store_revision former = m_directory.revision();
     if (!first && list.revision.era != former.era) {
@@ -497,7 +498,7 @@
 bool entry_balancer::readDue(base::time_point now) const
 {
     return m_schedule.due(now, m_view.readAt(), m_view.complete())
-            || (m_searchNeedsRead && m_schedule.urgentlyDue(now, m_lastListAt))
+            || (m_search.needsNewerList() && m_schedule.urgentlyDue(now, m_lastListAt))
             || (m_view.lacksConfiguration(now) && m_schedule.retryDue(now));
 }
 
@@ -579,7 +580,7 @@
         sendHellos(now);
     if (now >= m_nextExpiry)
         expireOwners(now);
-    advanceSearches(now);
+    m_search.tick(now);
     if (!m_view.complete() && now >= m_nextSeedRequest) {
         m_nextSeedRequest = now + seedInterval;
         for (const std::uint32_t machine : m_identity.seeds)
@@ -587,7 +588,7 @@
     }
     base::time_point next = std::min(m_nextHello, m_nextExpiry);
     next = std::min(next, m_schedule.next(m_view.readAt(), m_view.complete()));
-    next = std::min(next, nextSearchAction());
+    next = std::min(next, m_search.nextTick());
     if (m_firstUse.enabled())
         next = std::min(next, now + first_use_delay::stallTime / 2);
     return std::max(next - now, base::duration::zero());
--- a/packages/flow/src/owner_search.cpp
+++ b/packages/flow/src/owner_search.cpp
@@ -1,9 +1,13 @@
-#include "oriolehold/flow/entry_balancer.h"
+#include "oriolehold/flow/owner_search.h"
+
+#include "oriolehold/flow/reset_reason.h"
+
+#include <boost/unordered/unordered_flat_set.hpp>
 
 #include <algorithm>
+#include <utility>
 
-// The part of entry_balancer that searches for the upstream of a flow that is not in its table:
-// candidates, answers and results. probe_dispatch.cpp sends the probes.
+// Candidates, answers and results of searches. probe_dispatch.cpp sends the probes.
 
 namespace oriolehold::flow {
 
@@ -25,9 +29,15 @@
 
 } // namespace
 
-void entry_balancer::searchOwner(const flow_key &key, const flow_route &route,
-                                 const packet_head &head, base::byte_view packet,
-                                 std::uint32_t excluded, base::time_point now)
+owner_search::owner_search(std::string zone, search_view &view, tagged_sender &sender,
+                           message_output &output, reset_output &reset, flow_observer &observer,
+                           search_counters &counters)
+    : m_zone(std::move(zone)), m_view(view), m_sender(sender), m_output(output), m_reset(reset),
+      m_observer(observer), m_counters(counters)
+{ }
+
+void owner_search::search(const flow_key &key, const flow_route &route, const packet_head &head,
+                          base::byte_view packet, std::uint32_t excluded, base::time_point now)
 {
     const auto [item, added] = m_searches.try_emplace(key);
     flow_search &state = item->second;
@@ -39,8 +49,8 @@
                   .flow = key,
                   .machine = excluded,
                   .reason = excluded == 0 ? "unknown flow" : "the owner denies the flow",
-                  .configurationVersion = m_view.configuration().version,
-                  .viewAge = now - m_directory.readAt() });
+                  .configurationVersion = m_view.configurationVersion(),
+                  .viewAge = now - m_view.directory().readAt() });
     }
     addCandidates(state, route, excluded, now);
     state.lastPacketAt = now;
@@ -58,18 +68,18 @@
     sendProbes(key, route, state, now);
 }
 
-bool entry_balancer::includes(const flow_route &route, const flow_search &state,
-                              const known_upstream &upstream) const
+bool owner_search::includes(const flow_route &route, const flow_search &state,
+                            const known_upstream &upstream) const
 {
     if (mayServe(route, upstream.record.service) || mayServe(route, upstream.serviceDigest()))
         return true;
     // A version that this process has not seen may have sent the route's flows to any service. An
     // entry with an unknown service is one of another writer unless an agent is there.
     const bool agentHeard = upstream.reportedAt != base::time_point {};
-    return state.allServices && (agentHeard || isKnownService(upstream.record));
+    return state.allServices && (agentHeard || m_view.isKnownService(upstream.record));
 }
 
-void entry_balancer::widen(const flow_route &route, flow_search &state, base::time_point now)
+void owner_search::widen(const flow_route &route, flow_search &state, base::time_point now)
 {
     ++m_counters.widened;
     state.allServices = true;
@@ -77,19 +87,19 @@
     addCandidates(state, route, 0, now);
 }
 
-void entry_balancer::addCandidates(flow_search &state, const flow_route &route,
-                                   std::uint32_t excluded, base::time_point now)
+void owner_search::addCandidates(flow_search &state, const flow_route &route,
+                                 std::uint32_t excluded, base::time_point now)
 {
-    const std::uint64_t version = m_view.configuration().version;
+    const std::uint64_t version = m_view.configurationVersion();
     const auto filter = [&](const known_upstream &known) { return includes(route, state, known); };
-    if (state.listReadAt == m_directory.readAt() && state.configurationVersion == version)
+    if (state.listReadAt == m_view.directory().readAt() && state.configurationVersion == version)
         return;
-    state.listReadAt = m_directory.readAt();
+    state.listReadAt = m_view.directory().readAt();
     state.configurationVersion = version;
     boost::unordered_flat_set<std::uint32_t> known;
     for (const search_candidate &item : state.candidates)
         known.insert(item.machine);
-    for (const std::uint32_t machine : m_directory.possibleOwners(filter, m_identity.zone, now)) {
+    for (const std::uint32_t machine : m_view.directory().possibleOwners(filter, m_zone, now)) {
         if (known.contains(machine))
             continue;
         search_candidate &added = state.candidates.emplace_back();
@@ -99,8 +109,8 @@
     }
 }
 
-flow_decision entry_balancer::describe(decision_kind kind, const flow_key &key,
-                                       const flow_search &state, base::time_point now) const
+flow_decision owner_search::describe(decision_kind kind, const flow_key &key,
+                                     const flow_search &state, base::time_point now) const
 {
     const auto isProbed = [](const search_candidate &item) {
         return item.firstProbeAt != base::time_point {};
@@ -113,8 +123,8 @@
             });
     return { .kind = kind,
              .flow = key,
-             .configurationVersion = m_view.configuration().version,
-             .viewAge = now - m_directory.readAt(),
+             .configurationVersion = m_view.configurationVersion(),
+             .viewAge = now - m_view.directory().readAt(),
              .elapsed = now - state.startedAt,
              .candidates = static_cast<std::uint32_t>(state.candidates.size()),
              .probes = state.probes,
@@ -122,8 +132,7 @@
              .unanswered = static_cast<std::uint32_t>(unanswered) };
 }
 
-void entry_balancer::endSearch(const flow_key &key, const known_upstream &upstream,
-                               base::time_point now)
+void owner_search::end(const flow_key &key, const known_upstream &upstream, base::time_point now)
 {
     const std::uint32_t machine = upstream.machine();
     const auto found = m_searches.find(key);
@@ -133,8 +142,8 @@
     const auto probed = std::ranges::find(state.candidates, machine, &search_candidate::machine);
     for (std::size_t i = 0; i < state.packets.size(); ++i) {
         if (probed == state.candidates.end() || !probed->received.test(i))
-            m_sender.send(instruction::deliver, upstream.serviceDigest(), routeOf(key.service),
-                          machine, state.packets[i].bytes);
+            m_sender.send(instruction::deliver, upstream.serviceDigest(),
+                          m_view.routeOf(key.service), machine, state.packets[i].bytes);
     }
     if (probed != state.candidates.end() && state.endWait(*probed))
         m_probeWindow.answered();
@@ -145,14 +154,14 @@
     decision.upstream = upstream.record.id;
     m_observer.decisionMade(decision);
     m_searches.erase(found);
-    continueSearches(now);
+    sendDueProbes(now);
 }
 
-void entry_balancer::noteDenial(const flow_denial &denial, std::uint32_t machine,
-                                base::time_point now)
+void owner_search::receiveDenial(const flow_denial &denial, std::uint32_t machine,
+                                 base::time_point now)
 {
     const auto found = m_searches.find(denial.flow);
-    const flow_route *route = routeOf(denial.flow.service);
+    const flow_route *route = m_view.routeOf(denial.flow.service);
     if (found == m_searches.end() || route == nullptr)
         return;
     flow_search &state = found->second;
@@ -171,17 +180,17 @@
     if (state.endWait(*item))
         m_probeWindow.answered();
     endIfDenied(denial.flow, state, now);
-    continueSearches(now);
+    sendDueProbes(now);
 }
 
-bool entry_balancer::allDeny(const flow_route &route, const flow_search &state) const
+bool owner_search::allDeny(const flow_route &route, const flow_search &state) const
 {
     return std::ranges::none_of(state.candidates, [&](const search_candidate &item) {
-        return isPossible(route, state, item) && !m_directory.holdsNoFlows(item.machine);
+        return isPossible(route, state, item) && !m_view.directory().holdsNoFlows(item.machine);
     });
 }
 
-void entry_balancer::forgetSearch(const flow_key &key)
+void owner_search::forget(const flow_key &key)
 {
     const auto found = m_searches.find(key);
     if (found == m_searches.end())
@@ -190,58 +199,58 @@
     m_searches.erase(found);
 }
 
-void entry_balancer::advanceSearches(base::time_point now)
+void owner_search::tick(base::time_point now)
 {
     expireProbes(now);
     expireRelays(now);
-    continueSearches(now);
+    sendDueProbes(now);
     // A claim may have ended the last search; the update stops the wake-ups.
-    const bool searching = !m_searches.empty() || m_searchNeedsRead || m_searchInProgress;
-    if (searching && now >= m_nextSearchUpdate)
-        updateSearches(now);
+    const bool searching = !m_searches.empty() || m_needsRead || m_inProgress;
+    if (searching && now >= m_nextUpdate)
+        updateAll(now);
 }
 
-base::time_point entry_balancer::nextSearchAction() const
+base::time_point owner_search::nextTick() const
 {
     const base::time_point next = nextProbeExpiry();
-    return m_searchNeedsRead || m_searchInProgress ? std::min(next, m_nextSearchUpdate) : next;
+    return m_needsRead || m_inProgress ? std::min(next, m_nextUpdate) : next;
 }
 
-void entry_balancer::updateSearches(base::time_point now)
+void owner_search::updateAll(base::time_point now)
 {
-    m_nextSearchUpdate = now + searchInterval;
-    m_searchNeedsRead = false;
-    m_searchInProgress = false;
+    m_nextUpdate = now + searchInterval;
+    m_needsRead = false;
+    m_inProgress = false;
     // Thousands of searches may have the same route.
     boost::unordered_flat_map<const flow_route *, bool> complete;
     const auto listSufficesFor = [&](const flow_route &route) {
         const auto [item, added] = complete.try_emplace(&route, false);
         if (added)
-            item->second = listIsComplete(route, now);
+            item->second = m_view.listIsComplete(route, now);
         return item->second;
     };
     boost::unordered::erase_if(m_searches, [&](auto &item) {
-        return updateSearch(item.first, item.second, listSufficesFor, now);
+        return update(item.first, item.second, listSufficesFor, now);
     });
-    continueSearches(now);
+    sendDueProbes(now);
 }
 
-void entry_balancer::endIfDenied(const flow_key &key, flow_search &state, base::time_point now)
+void owner_search::endIfDenied(const flow_key &key, flow_search &state, base::time_point now)
 {
     if (!std::ranges::all_of(state.candidates, &search_candidate::denied))
         return;
     const auto listSufficesFor = [&](const flow_route &route) {
-        return listIsComplete(route, now);
+        return m_view.listIsComplete(route, now);
     };
-    if (updateSearch(key, state, listSufficesFor, now))
+    if (update(key, state, listSufficesFor, now))
         m_searches.erase(flow_key(key));
 }
 
-bool entry_balancer::updateSearch(const flow_key &key, flow_search &state,
-                                  const std::function<bool(const flow_route &)> &listSufficesFor,
-                                  base::time_point now)
+bool owner_search::update(const flow_key &key, flow_search &state,
+                          const std::function<bool(const flow_route &)> &listSufficesFor,
+                          base::time_point now)
 {
-    const flow_route *route = routeOf(key.service);
+    const flow_route *route = m_view.routeOf(key.service);
     if (route == nullptr || now - state.lastPacketAt > searchTimeout) {
         ++m_counters.abandoned;
         m_observer.decisionMade(describe(decision_kind::searchEnded, key, state, now));
@@ -257,20 +266,21 @@
         state.queued = true;
         m_probeQueue.push_back(key);
     }
-    m_searchInProgress = m_searchInProgress || !state.roundComplete || state.packetsDue;
+    m_inProgress = m_inProgress || !state.roundComplete || state.packetsDue;
     if (!allDeny(*route, state))
         return false;
     // If all possible owners deny the flow, by a list that was read after the search began, the
     // flow does not exist. An older list may lack upstreams that are in the views of others, unless
     // these do not use them yet.
-    const bool listIsNewer = m_directory.readAt() > state.startedAt;
+    const bool listIsNewer = m_view.directory().readAt() > state.startedAt;
     const bool listSuffices = listIsNewer || listSufficesFor(*route);
-    m_searchNeedsRead = m_searchNeedsRead || !listSuffices;
-    if (!listSuffices || listMayLackUpstreams(now))
+    m_needsRead = m_needsRead || !listSuffices;
+    if (!listSuffices || m_view.listMayLackUpstreams(now))
         return false;
     m_counters.waitsAvoided += listIsNewer ? 0 : 1;
-    resetClient(state.currentPacket().head,
-                listIsNewer ? reset_counters::absent : reset_counters::absentByKnownList, now);
+    m_reset.resetClient(state.currentPacket().head,
+                        listIsNewer ? reset_counters::absent : reset_counters::absentByKnownList,
+                        now);
     withdrawProbes(state);
     return true;
 }
--- a/packages/flow/src/probe_dispatch.cpp
+++ b/packages/flow/src/probe_dispatch.cpp
@@ -1,12 +1,12 @@
-#include "oriolehold/flow/entry_balancer.h"
+#include "oriolehold/flow/owner_search.h"
 
 #include "oriolehold/base/hash.h"
 
 #include <algorithm>
 #include <span>
 
-// The part of entry_balancer that sends the probes of its searches, directly or through agents, as
-// far as the window of probes has room.
+// The part of owner_search that sends the probes, directly or through agents, as far as the window
+// of probes has room.
 
 namespace oriolehold::flow {
 
@@ -31,19 +31,19 @@
 
 } // namespace
 
-bool entry_balancer::isPossible(const flow_route &route, const flow_search &state,
-                                const search_candidate &item) const
+bool owner_search::isPossible(const flow_route &route, const flow_search &state,
+                              const search_candidate &item) const
 {
     if (item.denied)
         return false;
-    const known_upstream *known = m_directory.find(item.machine);
+    const known_upstream *known = m_view.directory().find(item.machine);
     return known != nullptr && includes(route, state, *known);
 }
 
-void entry_balancer::probe(const flow_key &key, const flow_route &route, flow_search &state,
-                           search_candidate &item, std::size_t packet, base::time_point now)
+void owner_search::probe(const flow_key &key, const flow_route &route, flow_search &state,
+                         search_candidate &item, std::size_t packet, base::time_point now)
 {
-    const known_upstream *known = m_directory.find(item.machine);
+    const known_upstream *known = m_view.directory().find(item.machine);
     m_sender.send(instruction::probe, known->serviceDigest(), &route, item.machine,
                   state.packets[packet].bytes);
     item.received.set(packet);
@@ -60,8 +60,8 @@
     ++m_counters.probes;
 }
 
-void entry_balancer::sendKeptPackets(const flow_key &key, const flow_route &route,
-                                     flow_search &state, base::time_point now)
+void owner_search::sendKeptPackets(const flow_key &key, const flow_route &route, flow_search &state,
+                                   base::time_point now)
 {
     state.packetsDue = false;
     std::size_t suspects = 0;
@@ -86,8 +86,8 @@
     }
 }
 
-void entry_balancer::sendProbes(const flow_key &key, const flow_route &route, flow_search &state,
-                                base::time_point now)
+void owner_search::sendProbes(const flow_key &key, const flow_route &route, flow_search &state,
+                              base::time_point now)
 {
     const auto isDue = [&](const search_candidate &item) {
         return item.round < state.round && isPossible(route, state, item);
@@ -120,22 +120,22 @@
         state.queued = true;
         m_probeQueue.push_back(key);
     }
-    m_searchInProgress = m_searchInProgress || !state.roundComplete || state.packetsDue;
+    m_inProgress = m_inProgress || !state.roundComplete || state.packetsDue;
 }
 
-void entry_balancer::relayProbes(const flow_key &key, const flow_route &route, flow_search &state,
-                                 std::vector<search_candidate *> &due, base::time_point now)
+void owner_search::relayProbes(const flow_key &key, const flow_route &route, flow_search &state,
+                               std::vector<search_candidate *> &due, base::time_point now)
 {
-    const std::uint32_t digest = m_directory.find(due.front()->machine)->serviceDigest();
+    const std::uint32_t digest = m_view.directory().find(due.front()->machine)->serviceDigest();
     const auto isOfService = [&](const search_candidate *item) {
-        return m_directory.find(item->machine)->serviceDigest() == digest;
+        return m_view.directory().find(item->machine)->serviceDigest() == digest;
     };
     // Clang 14 does not compile the call in std::ranges.
     const auto others = std::stable_partition(due.begin(), due.end(), isOfService);
     const std::span<search_candidate *> group(due.begin(), others);
     std::vector<std::uint32_t> helpers;
     for (const search_candidate *item : group) {
-        if (upstream_directory::isHeard(*m_directory.find(item->machine), now))
+        if (upstream_directory::isHeard(*m_view.directory().find(item->machine), now))
             helpers.push_back(item->machine);
     }
     if (helpers.empty())
@@ -174,7 +174,7 @@
     due.erase(due.begin(), due.begin() + static_cast<std::ptrdiff_t>(relayed));
 }
 
-std::uint32_t entry_balancer::noteResult(const probe_result &result, base::time_point now)
+std::uint32_t owner_search::receiveResult(const probe_result &result, base::time_point now)
 {
     const auto found = m_searches.find(result.flow);
     if (found == m_searches.end())
@@ -197,13 +197,13 @@
     if (result.owner != 0)
         return result.owner;
     if (state.packetsDue)
-        m_nextSearchUpdate = now;
+        m_nextUpdate = now;
     endIfDenied(result.flow, state, now);
-    continueSearches(now);
+    sendDueProbes(now);
     return 0;
 }
 
-void entry_balancer::expireRelays(base::time_point now)
+void owner_search::expireRelays(base::time_point now)
 {
     while (!m_awaitedResults.empty() && now - m_awaitedResults.front().sentAt >= relayTimeout) {
         const awaited_result expired = m_awaitedResults.front();
@@ -222,7 +222,7 @@
             item.round = 0;
             item.firstProbeAt = {};
         }
-        const known_upstream *helper = m_directory.find(request->machine);
+        const known_upstream *helper = m_view.directory().find(request->machine);
         state.relays.erase(request);
         ++state.relayFailures;
         state.roundComplete = false;
@@ -234,7 +234,7 @@
     }
 }
 
-base::time_point entry_balancer::nextProbeExpiry() const
+base::time_point owner_search::nextProbeExpiry() const
 {
     base::time_point next = base::time_point::max();
     if (!m_awaitedProbes.empty())
@@ -244,14 +244,14 @@
     return next;
 }
 
-void entry_balancer::continueSearches(base::time_point now)
+void owner_search::sendDueProbes(base::time_point now)
 {
     // The first search is completed before the next ones get the room: packets of an open flow must
     // not reach other upstreams for long.
     for (auto item = m_probeQueue.begin();
          item != m_probeQueue.end() && m_probeWindow.room() > 0;) {
         const auto found = m_searches.find(*item);
-        const flow_route *route = routeOf(item->service);
+        const flow_route *route = m_view.routeOf(item->service);
         if (found != m_searches.end() && found->second.awaitedProbes >= maxOutstandingProbes) {
             ++item;
             continue;
@@ -268,7 +268,7 @@
     }
 }
 
-void entry_balancer::expireProbes(base::time_point now)
+void owner_search::expireProbes(base::time_point now)
 {
     while (!m_awaitedProbes.empty() && now - m_awaitedProbes.front().sentAt >= probeTimeout) {
         const awaited_probe expired = m_awaitedProbes.front();
@@ -281,14 +281,14 @@
         if (item == found->second.candidates.end() || item->awaitedSince != expired.sentAt)
             continue;
         found->second.endWait(*item);
-        const known_upstream *known = m_directory.find(expired.machine);
+        const known_upstream *known = m_view.directory().find(expired.machine);
         const bool wasSilent = item->lastProbeAt - item->firstProbeAt >= probeTimeout;
         m_probeWindow.expired(
                 !wasSilent && known != nullptr && upstream_directory::isHeard(*known, now), now);
     }
 }
 
-void entry_balancer::withdrawProbes(flow_search &state)
+void owner_search::withdrawProbes(flow_search &state)
 {
     for (search_candidate &item : state.candidates) {
         if (state.endWait(item))
