--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -46,9 +46,10 @@
                                const document_codec &documents, placement_policy &policy,
                                entry_output &output, flow_observer &observer)
     : m_identity(std::move(identity)), m_codec(codec), m_policy(policy), m_output(output),
-      m_observer(observer), m_view(documents, output, *this),
+      m_sender(codec, output), m_observer(observer), m_view(documents, output, *this),
       m_schedule(m_identity.bootId, !m_identity.isSeed && !m_identity.seeds.empty()),
-      m_firstUse(m_identity.firstUseDelay)
+      m_firstUse(m_identity.firstUseDelay),
+      m_search(m_identity.zone, *this, m_sender, output, *this, observer, m_counters)
 { }
 
 const flow_route *entry_balancer::routeOf(const base::endpoint &service) const
@@ -91,7 +92,7 @@
     else if (const auto item = m_owners.find(key); item != m_owners.end())
         forwardKnown(item->second, key.service, packet, now);
     else if (const flow_route *route = routeOf(key.service))
-        searchOwner(key, *route, head, packet, 0, now);
+        m_search.search(key, *route, head, packet, 0, now);
     else
         ++m_counters.dropped;
 }
@@ -141,11 +142,7 @@
 void entry_balancer::forgetFlow(const flow_key &key)
 {
     m_owners.erase(key);
-    const auto found = m_searches.find(key);
-    if (found == m_searches.end())
-        return;
-    withdrawProbes(found->second);
-    m_searches.erase(found);
+    m_search.forget(key);
 }
 
 const std::string *entry_balancer::chooseService(const flow_route &route, const flow_key &key)
@@ -226,25 +223,7 @@
 void entry_balancer::forward(const owner &item, const base::endpoint &service,
                              base::byte_view packet)
 {
-    sendTagged(instruction::deliver, item.serviceDigest, routeOf(service), item.machine, packet);
-}
-
-void entry_balancer::sendTagged(instruction kind, std::uint32_t digest, const flow_route *route,
-                                std::uint32_t machine, base::byte_view packet)
-{
-    m_codec.copyTagged(packet, tagOf(kind, digest, route), m_scratch);
-    m_output.sendToAgent(machine, m_scratch);
-}
-
-packet_tag entry_balancer::tagOf(instruction kind, std::uint32_t digest, const flow_route *route)
-{
-    packet_tag tag { kind, digest };
-    if (route != nullptr) {
-        tag.priority = route->priority;
-        tag.latencyObjective = route->latencyObjective;
-        tag.timeout = route->timeout;
-    }
-    return tag;
+    m_sender.send(instruction::deliver, item.serviceDigest, routeOf(service), item.machine, packet);
 }
 
 void entry_balancer::receiveReturned(const packet_head &head, base::byte_view packet,
@@ -284,7 +263,7 @@
     m_owners.erase(known);
     // A misdirected packet has not reached the upstream, which may hold the flow.
     const bool denied = head.tag.kind == instruction::absent;
-    searchOwner(key, *route, head, packet, denied ? sender : 0, now);
+    m_search.search(key, *route, head, packet, denied ? sender : 0, now);
 }
 
 void entry_balancer::receiveRefused(const packet_head &head, base::byte_view packet,
@@ -329,6 +308,43 @@
         m_view.receive(machine, message, now);
 }
 
+void entry_balancer::receiveClaim(const flow_key &key, std::uint32_t machine, base::time_point now)
+{
+    const known_upstream *known = m_directory.find(machine);
+    if (known == nullptr)
+        return; // the list with this upstream has not arrived yet; a later packet starts a search
+    owner &item = m_owners[key];
+    if (item.confirmed && item.machine != machine) {
+        ++m_counters.changed;
+        m_observer.decisionMade({ .kind = decision_kind::ownerChanged,
+                                  .flow = key,
+                                  .machine = machine,
+                                  .formerMachine = item.machine,
+                                  .upstream = known->record.id });
+    }
+    item.machine = machine;
+    item.lastSeen = base::unixSeconds(now);
+    item.serviceDigest = known->serviceDigest();
+    item.confirmed = true;
+    m_search.end(key, *known, now);
+}
+
+void entry_balancer::receiveDenial(const flow_denial &denial, std::uint32_t machine,
+                                   base::time_point now)
+{
+    // A denial may arrive after a claim that the agent sent before it.
+    const auto known = m_owners.find(denial.flow);
+    if (known != m_owners.end() && known->second.machine == machine && !denial.misdirected)
+        m_owners.erase(known);
+    m_search.receiveDenial(denial, machine, now);
+}
+
+void entry_balancer::receiveResult(const probe_result &result, base::time_point now)
+{
+    if (const std::uint32_t machine = m_search.receiveResult(result, now); machine != 0)
+        receiveClaim(result.flow, machine, now);
+}
+
 void entry_balancer::receiveCapacity(std::uint32_t machine, const capacity_report &report,
                                      base::time_point now)
 {
@@ -408,7 +424,7 @@
                                       base::time_point now)
 {
     m_lastListAt = now;
-    m_nextSearchUpdate = now;
+    m_search.listChanged(now);
     const bool first = m_directory.readAt() == base::time_point {};
     const store_revision former = m_directory.revision();
     if (!first && list.revision.era != former.era) {
@@ -437,6 +453,22 @@
         m_firstUse.update(list, readAt, now, isKnown);
 }
 
+bool entry_balancer::listIsComplete(const flow_route &route, base::time_point now)
+{
+    return m_firstUse.enabled() && std::ranges::any_of(route.services, &weighted_service::weight)
+            && std::ranges::all_of(route.services, [&](const weighted_service &service) {
+                   return service.weight == 0
+                           || m_firstUse.isComplete(m_directory.eligible(service.name), now);
+               });
+}
+
+bool entry_balancer::listMayLackUpstreams(base::time_point now) const
+{
+    return std::ranges::any_of(m_unlistedAgents, [&](const auto &agent) {
+        return now - agent.second < upstream_directory::reregistrationTime;
+    });
+}
+
 void entry_balancer::applyEvacuation(const zone_evacuation &evacuation, base::time_point now)
 {
     const std::vector<std::string> former = m_directory.evacuatedZones();
@@ -466,7 +498,7 @@
 bool entry_balancer::readDue(base::time_point now) const
 {
     return m_schedule.due(now, m_view.readAt(), m_view.complete())
-            || (m_searchNeedsRead && m_schedule.urgentlyDue(now, m_lastListAt))
+            || (m_search.needsNewerList() && m_schedule.urgentlyDue(now, m_lastListAt))
             || (m_view.lacksConfiguration(now) && m_schedule.retryDue(now));
 }
 
@@ -548,13 +580,7 @@
         sendHellos(now);
     if (now >= m_nextExpiry)
         expireOwners(now);
-    // A claim may have ended the last search; the update stops the wake-ups.
-    expireProbes(now);
-    expireRelays(now);
-    continueSearches(now);
-    const bool searching = !m_searches.empty() || m_searchNeedsRead || m_searchInProgress;
-    if (searching && now >= m_nextSearchUpdate)
-        updateSearches(now);
+    m_search.tick(now);
     if (!m_view.complete() && now >= m_nextSeedRequest) {
         m_nextSeedRequest = now + seedInterval;
         for (const std::uint32_t machine : m_identity.seeds)
@@ -562,9 +588,7 @@
     }
     base::time_point next = std::min(m_nextHello, m_nextExpiry);
     next = std::min(next, m_schedule.next(m_view.readAt(), m_view.complete()));
-    if (m_searchNeedsRead || m_searchInProgress)
-        next = std::min(next, m_nextSearchUpdate);
-    next = std::min(next, nextProbeExpiry());
+    next = std::min(next, m_search.nextTick());
     if (m_firstUse.enabled())
         next = std::min(next, now + first_use_delay::stallTime / 2);
     return std::max(next - now, base::duration::zero());
