Confirm a list only with the configuration of its reader

Cause: a summary with a newer configuration and an unchanged list dated the list by the new read at once, and requested the configuration. If the reader could be heard but not reached, the agents never got the configuration from it, but passed the date of its list on with their own, older configuration. The other instances took their views for recent and did not read the store.

Change: such a summary is kept, and dates the list when the configuration has arrived. Until then the view gets older and the instance reads itself. Without losses the configuration arrives within a round trip, and the agents pass on one summary with it instead of one without it before.

--- a/packages/flow/include/oriolehold/flow/view_exchange.h
+++ b/packages/flow/include/oriolehold/flow/view_exchange.h
@@ -78,8 +78,19 @@
         std::size_t missing = 0; // pages
     };
 
+    // A read that found the list of this process unchanged.
+    struct confirmation
+    {
+        std::uint64_t configurationVersion = 0; // of the reader
+        store_revision revision;                // of the list
+        std::uint64_t digest = 0;               // of the list
+        base::time_point readAt {};
+    };
+
     bool receiveSummary(std::uint32_t machine, const view_summary &summary, base::time_point now);
     bool receivePage(const view_page &page, base::time_point now);
+    // Dates the list by the read, unless the process has got a newer one meanwhile.
+    bool confirmUpstreams(const confirmation &read, base::time_point now);
     bool setUpstreams(const upstream_list &list, std::uint64_t digest, base::time_point readAt,
                       base::time_point now);
     // Sends an encoded document in pages.
@@ -99,6 +110,8 @@
     upstream_list m_upstreams;
     std::uint64_t m_digest = 0; // of m_upstreams; 0: none yet
     base::time_point m_readAt {};
+    // The last confirmation that came with a configuration that is missing here.
+    std::optional<confirmation> m_pendingConfirmation;
     assembly m_configurationPages;
     assembly m_upstreamPages;
 };
--- a/packages/flow/src/view_exchange.cpp
+++ b/packages/flow/src/view_exchange.cpp
@@ -3,6 +3,7 @@
 #include "oriolehold/base/hash.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace oriolehold::flow {
 
@@ -115,13 +116,27 @@
         m_output.sendMessage(machine, request);
     if (!newerList || request.upstreams)
         return false;
-    // A newer read confirmed the same content. Remaining warm-up times are counted from the read.
-    const base::time_point readAt = now - summary.age - transferTime;
-    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(readAt - m_readAt);
+    const confirmation read { summary.configurationVersion, summary.upstreamRevision,
+                              summary.upstreamDigest, now - summary.age - transferTime };
+    if (!request.configuration)
+        return confirmUpstreams(read, now);
+    // The request is lost if the reader cannot be reached from here. A list that counts as recent
+    // would keep this process and others from reading the configuration themselves.
+    m_pendingConfirmation = read;
+    return false;
+}
+
+bool view_exchange::confirmUpstreams(const confirmation &read, base::time_point now)
+{
+    if (read.revision < m_upstreams.revision || read.digest != m_digest || read.readAt <= m_readAt)
+        return false;
+    // Remaining warm-up times are counted from the read.
+    const auto elapsed =
+            std::chrono::duration_cast<std::chrono::milliseconds>(read.readAt - m_readAt);
     for (upstream_record &record : m_upstreams.upstreams)
         record.warmUpLeft = std::max(record.warmUpLeft - elapsed, std::chrono::milliseconds {});
-    m_upstreams.revision = summary.upstreamRevision;
-    m_readAt = readAt;
+    m_upstreams.revision = read.revision;
+    m_readAt = read.readAt;
     m_listener.upstreamsUpdated(m_upstreams, m_readAt, now);
     return true;
 }
@@ -139,6 +154,9 @@
         if (!configuration || configuration->version <= m_configuration.version)
             return false;
         applyConfiguration(*configuration);
+        if (m_pendingConfirmation
+            && m_pendingConfirmation->configurationVersion <= m_configuration.version)
+            confirmUpstreams(*std::exchange(m_pendingConfirmation, std::nullopt), now);
         return true;
     }
     const auto bytes = assemble(m_upstreamPages, page);
--- a/packages/flow/tests/view_exchange_test.cpp
+++ b/packages/flow/tests/view_exchange_test.cpp
@@ -102,6 +102,41 @@
     CHECK_TRUE(receiver.readAt() == atMilliseconds(1000) - view_exchange::transferTime);
 }
 
+// Guards against configurations that are in force late: a reader that receives nothing answers no
+// request, and its summaries must not postpone the reads of others meanwhile.
+TEST(view_exchange, ListIsNotConfirmedBeforeTheConfigurationOfItsReaderArrives)
+{
+    reader.applyConfiguration(configurationOf(3));
+    reader.applyUpstreams(listOf(10, "a"), atMilliseconds(0), atMilliseconds(0));
+    sendSummary(5);
+    reader.applyConfiguration(configurationOf(4));
+    reader.applyUpstreams(listOf(11, "a"), atMilliseconds(1000), atMilliseconds(1000));
+    CHECK_FALSE(receiver.receive(1, reader.summary(atMilliseconds(1005)), atMilliseconds(1005)));
+    CHECK_TRUE(receiver.readAt() == atMilliseconds(0) - view_exchange::transferTime);
+
+    exchange(1010);
+    CHECK_EQUAL(4, receiver.configuration().version);
+    CHECK_EQUAL(11, receiver.upstreams().revision.number);
+    CHECK_TRUE(receiver.readAt() == atMilliseconds(1000) - view_exchange::transferTime);
+}
+
+// The configuration may arrive from another process after a newer list.
+TEST(view_exchange, LateConfigurationDoesNotConfirmAnotherList)
+{
+    reader.applyConfiguration(configurationOf(3));
+    reader.applyUpstreams(listOf(10, "a"), atMilliseconds(0), atMilliseconds(0));
+    sendSummary(5);
+    reader.applyConfiguration(configurationOf(4));
+    reader.applyUpstreams(listOf(11, "a"), atMilliseconds(1000), atMilliseconds(1000));
+    receiver.receive(1, reader.summary(atMilliseconds(1005)), atMilliseconds(1005));
+    receiver.applyUpstreams(listOf(12, "b"), atMilliseconds(1006), atMilliseconds(1006));
+    exchange(1010);
+
+    CHECK_EQUAL(4, receiver.configuration().version);
+    CHECK_EQUAL(12, receiver.upstreams().revision.number);
+    CHECK_TRUE(receiver.readAt() == atMilliseconds(1006));
+}
+
 // Guards against warm-ups that never end for a process that gets summaries only: their remaining
 // times count from the read.
 TEST(view_exchange, ConfirmedListHasShorterWarmUps)
