Let simulated upstreams answer only the end of their own flow

Cause: a simulated upstream took the finishing packet of any flow from a port for that of the flow that it held or had held from this port. No upstream does that: the sequence number is not of its flow.

Change: a finishing packet needs the sequence number that follows the data of the flow. The check is not changed; it is stricter now, as the finishing packet must reach the upstream of its flow, too.

--- a/packages/flow/tests/deployment_upstreams.cpp
+++ b/packages/flow/tests/deployment_upstreams.cpp
@@ -141,6 +141,8 @@
 {
     const std::uint16_t port = head.source.port;
     if (head.finishes) {
+        if (head.sequence != flow.expected)
+            return; // of another flow from the same port
         flow.closed = true;
         packet_head reply;
         reply.source = head.destination;
