--- a/packages/flow/tests/flow_simulation.h
+++ b/packages/flow/tests/flow_simulation.h
@@ -57,6 +57,9 @@
     void reportViolation(std::string text);
 
     void startEntry(std::size_t index);
+    // Starts the process again at once, without what it knew.
+    void killEntry(std::size_t index);
+    void killAgent(upstream &item);
     void startAgent(upstream &item);
     void startUpstream(upstream &item);
     void tickEntry(std::size_t index);
@@ -66,6 +69,8 @@
 
     void toUpstream(upstream &item, packet_head head);
     void toClient(const packet_head &head, bool fromUpstream, std::uint32_t machine);
+    // The entry instance that gets the packets from a client port.
+    std::size_t entryOf(std::uint16_t port) const;
     void route(const packet_head &head);
     void openFlow();
     void sendOpening(std::uint16_t port, std::uint32_t copy);
