Keep evacuations and limits of cold upstreams through lapses and restarts

The reader leaves out evacuated zones without an upstream in its list. When all entries of a zone lapsed in an outage of the store, entry instances kept its upstreams, as they register again, and forgot the evacuation, so new flows went there. A zone now stays evacuated until a list has one of its upstreams again.

The 2.5 s in which an evacuation outlives a restore of the store began with the first changed set of the new era, not with its first list. An evacuation taken back long after a restore lasted 2.5 s longer. The time now begins with the list.

An agent took a flow as proof that its upstream had not restarted when the first opening packet of the flow was old enough. A copy of that packet may have reached the restarted upstream. The proof is now a flow that the upstream accepted before the earliest possible time of the restart.

Entry instances sent notices by the entry of a former user of an address, whose service differs from the one that the agent announces. The agent took the start of the former upstream for that of its own. These notices are no longer sent.

A list with a restarted upstream led to flows at once and to a notice with the next round of hellos, up to 500 ms later. The notice now goes out with the list.

The signature of suspectRestart and confirmRunning changed, and SuspectedRestartCountsAsCold with it; it has one more check.

--- a/packages/flow/include/oriolehold/flow/opening_limiter.h
+++ b/packages/flow/include/oriolehold/flow/opening_limiter.h
@@ -38,12 +38,12 @@
 
     // Sets what the notices say: the published rate, 0 for no limit, and the end of the warm-up.
     void update(double coldRate, base::time_point coldUntil, base::time_point now);
-    // The upstream does not answer or has lost its flows, so it may have restarted.
-    void suspectRestart(base::time_point now) { m_suspectedUntil = now + restartNoticeTime; }
-    // The upstream has not restarted since restartSuspectedAt().
-    void confirmRunning() { m_suspectedUntil = {}; }
-    // Time of the last sign of a restart; empty when there is none that counts.
-    std::optional<base::time_point> restartSuspectedAt(base::time_point now) const;
+    // The upstream does not answer or has lost its flows, so it may have restarted after the given
+    // time.
+    void suspectRestart(base::time_point since, base::time_point now);
+    // The upstream has answered a packet of a flow that it accepted at the given time, so it has
+    // not restarted since then.
+    void confirmRunning(base::time_point since);
 
     // Whether the number of opening packets is limited now.
     bool isLimited(base::time_point now) const;
@@ -75,7 +75,8 @@
     std::optional<double> m_coldRate; // published, per second; empty: unknown; 0: no limit
     base::time_point m_coldUntil {};
     base::time_point m_suspectedUntil {};
-    base::time_point m_startedAt {}; // epoch: not yet
+    base::time_point m_suspectedSince {}; // earliest time of the suspected restart
+    base::time_point m_startedAt {};      // epoch: not yet
     // When the packets of the last window left, oldest first. The last m_unflushed of them may not
     // have left.
     std::deque<base::time_point> m_passed;
--- a/packages/flow/include/oriolehold/flow/upstream_directory.h
+++ b/packages/flow/include/oriolehold/flow/upstream_directory.h
@@ -82,7 +82,9 @@
     void reportCapacity(std::uint32_t machine, const capacity_report &report, double coldRate,
                         base::time_point now);
     // Sets the evacuated zones. Those of a former era of the store stay evacuated for
-    // reregistrationTime, because the store may have been restored from an older copy.
+    // reregistrationTime after its end, because the store may have been restored from an older
+    // copy. The reader leaves out zones without an upstream in its list, so a zone whose upstreams
+    // are kept while they register again stays evacuated until the list has one of them.
     void setEvacuation(const zone_evacuation &evacuation, base::time_point now);
     // Zones that are evacuated, sorted.
     const std::vector<std::string> &evacuatedZones() const { return m_evacuatedZones; }
@@ -140,6 +142,8 @@
 
     static credibility credibilityOf(const upstream_record &record, const known_upstream *known,
                                      const record_filter &isKnownService);
+    // Whether the zone has upstreams here and none in the last list.
+    bool isAbsentFromList(std::string_view zone) const;
     // Returns one entry for each machine.
     std::vector<listed_record> recordsByMachine(const upstream_list &list,
                                                 const record_filter &isKnownService) const;
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -429,12 +429,22 @@
                                base::time_point now)
 {
     const auto isKnown = [this](const upstream_record &record) { return isKnownService(record); };
+    std::vector<std::uint32_t> restarted;
     const bool applied =
-            m_directory.update(list, readAt, now, isKnown, [this](const directory_change &change) {
+            m_directory.update(list, readAt, now, isKnown, [&](const directory_change &change) {
                 m_observer.directoryChanged(change);
+                if (change.what == directory_change::kind::restarted)
+                    restarted.push_back(change.address.address);
             });
     if (applied)
         m_firstUse.update(list, readAt, now, isKnown);
+    // Flows are placed there before the next round of hellos, and the agent still takes the
+    // upstream for the former, warm one.
+    for (const std::uint32_t machine : restarted) {
+        const known_upstream &known = *m_directory.find(machine);
+        if (m_identity.sendsNotices && coldRateOf(known) > 0)
+            m_output.sendMessage(machine, noticeOf(known, now));
+    }
 }
 
 void entry_balancer::applyEvacuation(const zone_evacuation &evacuation, base::time_point now)
@@ -521,7 +531,10 @@
                 machine, entry_hello { m_identity.bootId, m_identity.zone, known->record.slots });
         const upstream_notice notice = noticeOf(*known, now);
         // Without a configuration the rates of cold upstreams are unknown.
-        if (m_identity.sendsNotices && m_view.configuration().version != 0
+        // The entry of a former user of the address says nothing of the agent's upstream.
+        const bool isOfAgent = !known->announcedService
+                || *known->announcedService == serviceDigest(known->record.service);
+        if (m_identity.sendsNotices && isOfAgent && m_view.configuration().version != 0
             && m_notices.due(machine, notice, known->report.bootId, now))
             m_output.sendMessage(machine, notice);
     }
--- a/packages/flow/src/flow_agent.cpp
+++ b/packages/flow/src/flow_agent.cpp
@@ -452,7 +452,7 @@
 {
     ++m_counters.fromUpstream;
     if (m_unanswered >= unresponsiveAfter)
-        m_limiter.suspectRestart(now);
+        m_limiter.suspectRestart(m_lastUpstreamPacketAt, now);
     m_unanswered = 0;
     m_lastUpstreamPacketAt = now;
     m_pace.heard(now);
@@ -468,11 +468,10 @@
     m_output.sendToClient(head->destination.address, packet);
     const flow_key key = keyOfUpstreamPacket(*head);
     flow_state &state = m_flows[key];
-    // A packet of an older flow proves that the upstream has not restarted.
-    const auto suspectedAt = m_limiter.restartSuspectedAt(now);
-    if (suspectedAt && state.open && !head->resets && state.openingAt != base::time_point {}
-        && *suspectedAt - state.openingAt > openingTimeout * (unresponsiveAfter + 1))
-        m_limiter.confirmRunning();
+    // A packet of an older flow proves that the upstream has not restarted. The opening packet
+    // alone does not: a copy of it may have reached the restarted upstream.
+    if (state.open && state.answered && !head->resets)
+        m_limiter.confirmRunning(state.answeredAt);
     state.lastSeen = now;
     state.lastAnswerAt = now;
     if (!std::exchange(state.answered, true))
@@ -518,7 +517,7 @@
     const auto found = m_flows.find(key);
     const bool claimed = found != m_flows.end() && found->second.open;
     if (!refused && claimed && now - found->second.lastAnswerAt < flowLossTime)
-        m_limiter.suspectRestart(now);
+        m_limiter.suspectRestart(found->second.lastAnswerAt, now);
     ++(refused ? m_counters.refused : m_counters.absent);
     m_observer.decisionMade(
             { .kind = refused ? decision_kind::openingRefused : decision_kind::flowAbsent,
@@ -664,7 +663,7 @@
             m_pace.openingsUnanswered(now);
         }
         if (m_unanswered >= unresponsiveAfter)
-            m_limiter.suspectRestart(now);
+            m_limiter.suspectRestart(m_lastUpstreamPacketAt, now);
         m_observer.decisionMade({ .kind = decision_kind::openingRefused,
                                   .flow = opening.key,
                                   .machine = opening.entry.address,
--- a/packages/flow/src/opening_limiter.cpp
+++ b/packages/flow/src/opening_limiter.cpp
@@ -36,11 +36,16 @@
     m_tokens = firstRate ? maxTokens() : std::min(m_tokens, maxTokens());
 }
 
-std::optional<base::time_point> opening_limiter::restartSuspectedAt(base::time_point now) const
+void opening_limiter::suspectRestart(base::time_point since, base::time_point now)
 {
-    if (now >= m_suspectedUntil)
-        return std::nullopt;
-    return m_suspectedUntil - restartNoticeTime;
+    m_suspectedSince = now < m_suspectedUntil ? std::min(m_suspectedSince, since) : since;
+    m_suspectedUntil = now + restartNoticeTime;
+}
+
+void opening_limiter::confirmRunning(base::time_point since)
+{
+    if (since < m_suspectedSince)
+        m_suspectedUntil = {};
 }
 
 bool opening_limiter::isLimited(base::time_point now) const
--- a/packages/flow/src/upstream_directory.cpp
+++ b/packages/flow/src/upstream_directory.cpp
@@ -150,18 +150,32 @@
 {
     if (evacuation.revision.era != m_evacuation.revision.era && !m_evacuatedZones.empty()) {
         m_restoredZones = m_evacuatedZones;
-        m_restoredZonesUntil = now + reregistrationTime;
+        // Lists of the new era may have come before its first set.
+        m_restoredZonesUntil = m_outageEndedAt + reregistrationTime;
     }
     if (now >= m_restoredZonesUntil)
         m_restoredZones.clear();
     m_evacuation = evacuation;
+    std::vector<std::string> kept;
+    std::ranges::copy_if(m_evacuatedZones, std::back_inserter(kept),
+                         [this](const std::string &zone) { return isAbsentFromList(zone); });
+    std::vector<std::string> zones;
+    std::ranges::set_union(m_evacuation.zones, m_restoredZones, std::back_inserter(zones));
     m_evacuatedZones.clear();
-    std::ranges::set_union(m_evacuation.zones, m_restoredZones,
-                           std::back_inserter(m_evacuatedZones));
+    std::ranges::set_union(zones, kept, std::back_inserter(m_evacuatedZones));
     for (auto &[machine, known] : m_upstreams)
         known.inEvacuatedZone = std::ranges::binary_search(m_evacuatedZones, known.record.zone);
 }
 
+bool upstream_directory::isAbsentFromList(std::string_view zone) const
+{
+    const auto isIn = [zone](const auto &item) { return item.second.record.zone == zone; };
+    return std::ranges::any_of(m_upstreams, isIn)
+            && std::ranges::none_of(m_upstreams, [&](const auto &item) {
+                   return isIn(item) && item.second.seenInList == m_readAt;
+               });
+}
+
 bool upstream_directory::hasEvacuated(std::string_view service) const
 {
     return std::ranges::any_of(m_upstreams, [service](const auto &item) {
--- a/packages/flow/tests/cold_agent_test.cpp
+++ b/packages/flow/tests/cold_agent_test.cpp
@@ -118,3 +118,23 @@
     notify(8, 0s, 5000);
     CHECK_FALSE(agent.limitsOpenings(atMilliseconds(5100)));
 }
+
+// Guards against a flow that counts as older than the restart because its first opening packet is.
+TEST(cold_agent, FlowThatTheRestartedUpstreamAcceptedDoesNotProveThatItRuns)
+{
+    notify(7, 0s, 0);
+    receive(opening(1), 0);
+    receive(opening(2), 0);
+    tick(60);
+    packet_head copy = opening(1);
+    copy.acknowledgement = 1;
+    receive(copy, 200);
+    answer(1, 205);
+    packet_head data;
+    data.source = { 0xc6120001, 443 };
+    data.destination = { 0x64400007, 1 };
+    data.payloadSize = 10;
+    for (const std::int64_t at : { 300, 400 })
+        agent.receiveFromUpstream(fake_codec::encode(data), atMilliseconds(at));
+    CHECK_TRUE(agent.limitsOpenings(atMilliseconds(400)));
+}
--- a/packages/flow/tests/evacuation_test.cpp
+++ b/packages/flow/tests/evacuation_test.cpp
@@ -128,6 +128,32 @@
     CHECK_TRUE(placeFlows(2000, 4010) == std::set<std::uint32_t>({ 1, 2, 3 }));
 }
 
+// Guards against flows into an evacuated zone whose upstreams lapsed in an outage of the store:
+// they are kept while they register again, and a set that was read meanwhile does not name their
+// zone.
+TEST(entry_evacuation, EvacuationOutlivesTheLapseOfAllUpstreamsInTheZone)
+{
+    evacuate({ "zone-a" }, 0);
+    const auto lapsed = upstreams.upstreams.front();
+    upstreams.upstreams.erase(upstreams.upstreams.begin());
+    evacuate({}, 5000);
+    CHECK_TRUE(placeFlows(1000, 5010) == std::set<std::uint32_t>({ 2, 3 }));
+    upstreams.upstreams.insert(upstreams.upstreams.begin(), lapsed);
+    evacuate({}, 6000);
+    CHECK_TRUE(placeFlows(2000, 6010) == std::set<std::uint32_t>({ 1, 2, 3 }));
+}
+
+// Guards against an evacuation that was taken back long after a restore and lasts 2.5 s longer.
+TEST(entry_evacuation, SetThatFollowsTheListsOfItsEraEndsEvacuationsAtOnce)
+{
+    evacuate({ "zone-a" }, 0);
+    ++era;
+    for (const std::int64_t at : { 1000, 2000, 3000 })
+        publish(at);
+    evacuate({}, 4000);
+    CHECK_TRUE(placeFlows(1000, 4010) == std::set<std::uint32_t>({ 1, 2, 3 }));
+}
+
 TEST(entry_evacuation, AgentsAreNotifiedAtOnceAndAgainAfterARestart)
 {
     entry_balancer notifying {
@@ -138,8 +164,13 @@
     notifying.tick(atMilliseconds(1));
     CHECK_TRUE(noticesTo(1).back().evacuated);
     CHECK_FALSE(noticesTo(2).back().evacuated);
+    // The entry of machine 3 is of a former user of the address.
+    notifying.receiveMessage(3, service_announcement { serviceDigest("catalog") },
+                             atMilliseconds(2));
+    const std::size_t before = noticesTo(3).size();
     for (std::int64_t at = 100; at <= 5000; at += 100)
         notifying.tick(atMilliseconds(at));
+    CHECK_EQUAL(before, noticesTo(3).size());
     output.messages.clear();
     notifying.receiveMessage(2, load_report { .bootId = 8 }, atMilliseconds(5010));
     for (std::int64_t at = 5100; at <= 5600; at += 100)
@@ -149,6 +180,23 @@
     CHECK_EQUAL(0, noticesTo(3).size());
 }
 
+// Guards against flows for a started upstream before its agent knows that it is cold.
+TEST(entry_evacuation, AgentIsNotifiedOfANewStartWithTheListThatHasIt)
+{
+    entry_balancer notifying {
+        { 7, "zone-a", { 99 }, false, {}, true }, codec, documents, policy, output, observer
+    };
+    evacuate({}, 0);
+    routes.warmUps = { { "orders", 60s, 20 } };
+    notifying.finishRead(routes, upstreams, atMilliseconds(0), atMilliseconds(0));
+    upstreams.upstreams[1].incarnation += 5;
+    evacuate({}, 1000);
+    output.messages.clear();
+    notifying.finishRead(std::nullopt, upstreams, atMilliseconds(1000), atMilliseconds(1000));
+    CHECK_EQUAL(1, noticesTo(2).size());
+    CHECK_EQUAL(0, noticesTo(3).size());
+}
+
 TEST_GROUP(agent_evacuation)
 {
     fake_codec codec;
--- a/packages/flow/tests/opening_limiter_test.cpp
+++ b/packages/flow/tests/opening_limiter_test.cpp
@@ -123,10 +123,12 @@
 {
     notify(0s, 20, 0);
     CHECK_FALSE(limiter.isLimited(atMilliseconds(10)));
-    limiter.suspectRestart(atMilliseconds(1000));
+    limiter.suspectRestart(atMilliseconds(900), atMilliseconds(1000));
     CHECK_TRUE(limiter.isLimited(atMilliseconds(1000)));
     CHECK_FALSE(limiter.isLimited(atMilliseconds(6000)));
-    limiter.suspectRestart(atMilliseconds(7000));
-    limiter.confirmRunning();
+    limiter.suspectRestart(atMilliseconds(6900), atMilliseconds(7000));
+    limiter.confirmRunning(atMilliseconds(6950));
+    CHECK_TRUE(limiter.isLimited(atMilliseconds(7000)));
+    limiter.confirmRunning(atMilliseconds(6800));
     CHECK_FALSE(limiter.isLimited(atMilliseconds(7000)));
 }
