Draw evacuations, cold upstreams, overload control and pace in random runs

The randomised runs of whole deployments covered none of these. Three plans now draw them from a separate source of the seed, overlapping with all faults, and every third seed restores the store: - evacuations of one or both zones that begin, end and begin again within a second, with 300 keys that name no zone and failing reads of the set; - a published warm-up with a rate, with up to ten times the usual flows and, for even seeds, evacuations; - overload control and pace, each on or off, while all upstreams are slow at times, for some seeds with the former two.

Checks: no opening packet reaches an upstream of a zone 5 s after the store's acknowledgement, unless the excuses of the other checks apply; an entry instance that has learned of an evacuation does not forget it, also while the store is disrupted; in calm times the set is in force after 1.5 s; a cold upstream gets at most rate x overage + slack opening packets in any sliding second, without excuses. All former checks apply too.

--- a/packages/flow/tests/deployment_checks.cpp
+++ b/packages/flow/tests/deployment_checks.cpp
@@ -10,8 +10,6 @@
 
 using namespace std::chrono_literals;
 
-// Unplanned disruptions of a machine excuse what happens until this time after them.
-constexpr base::duration recoveryTime = 5s;
 // Packets of an open flow at other upstreams, within this time and none at its own.
 constexpr base::duration misroutingTime = 2s;
 constexpr std::size_t misroutedPackets = 3;
@@ -98,6 +96,7 @@
                                          std::size_t entryIndex)
 {
     checkService(item, head, entryIndex);
+    checkEvacuation(item, entryIndex);
     if (item.draining && m_now - item.drainingSince > drainLimit
         && calmSince(m_now, entryIndex, item))
         reportViolation("a draining upstream got a new flow");
--- a/packages/flow/tests/deployment_parts.h
+++ b/packages/flow/tests/deployment_parts.h
@@ -43,6 +43,9 @@
     int missedChecks = 0;
     base::time_point refusedUntil {}; // by the store
     simulated_store_reader reader;
+    zone_evacuation evacuation; // as read last
+    // When it was seen to have the evacuation of a zone that is in force.
+    std::array<std::optional<base::time_point>, 2> learnedAt;
     base::time_point startedAt {};
     std::unique_ptr<base::seeded_random> random;
     std::unique_ptr<expected_time_policy> policy;
@@ -98,6 +101,7 @@
     std::map<std::uint16_t, std::size_t> senders;
     std::uint32_t serving = 0; // requests
     std::deque<request> waiting;
+    std::deque<base::time_point> coldOpenings; // opening packets of the last second in the warm-up
     std::unique_ptr<simulated_agent_output> output;
     std::unique_ptr<flow_agent> agent;
 };
@@ -157,6 +161,10 @@
 inline constexpr std::uint32_t firstEntryMachine = 1000; // address of the first entry instance
 // Payload of the last packet of a request, in bytes. Other packets have another size.
 inline constexpr std::uint16_t lastPacketSize = 50;
+inline constexpr std::array<std::string_view, 2> zoneNames { "zone-a", "zone-b" };
+// Unplanned disruptions of a machine excuse what happens until this time after them.
+inline constexpr std::chrono::seconds recoveryTime { 5 };
+inline constexpr opening_bounds coldBounds { 1.5, 5 };
 inline constexpr std::uint32_t clientMachine = 0x64400001;
 inline constexpr base::endpoint ordersEndpoint { 0xc6120001, 443 };
 inline constexpr base::endpoint catalogEndpoint { 0xc6120002, 443 };
--- a/packages/flow/tests/deployment_simulation.cpp
+++ b/packages/flow/tests/deployment_simulation.cpp
@@ -28,8 +28,9 @@
 constexpr base::duration batchTime = 100us;
 // Datagrams that a socket keeps.
 constexpr std::size_t socketLimit = 2000;
-
-constexpr std::array<std::string_view, 2> zoneNames { "zone-a", "zone-b" };
+constexpr std::uint64_t mostFlowsPerUpstream = 10; // in a second, when the rate is limited
+constexpr int unknownZones = 300;                  // that the operator evacuates
+constexpr std::uint64_t failedReads = 16; // one read of the evacuated zones in so many fails
 
 } // namespace
 
@@ -203,10 +204,11 @@
 };
 
 deployment_simulation::deployment_simulation(std::uint64_t seed, store_history history,
-                                             store_writers writers, habits kind)
+                                             store_writers writers, habits kind,
+                                             deployment_controls enabled)
     : m_random(seed), m_storeRandom(~seed), m_history(history), m_writerRandom(seed + 1),
       m_startTimeRandom(seed + 2), m_writers(writers), m_habitRandom(seed + 3), m_habits(kind),
-      m_firstUseDelay(simulatedFirstUseDelay(seed))
+      m_controlRandom(seed + 4), m_controls(enabled), m_firstUseDelay(simulatedFirstUseDelay(seed))
 {
     m_steadyHash = chance(50);
     m_twoServices = chance(60) || m_habits == habits::varied;
@@ -219,11 +221,18 @@
     const bool large = chance(largePercent);
     const std::size_t least = large ? mediumUpstreams : smallUpstreams;
     const std::size_t most = large ? largeUpstreams : mediumUpstreams;
+    const std::chrono::milliseconds warmUp { 2000 + m_controlRandom.below(8000) };
+    const double rate = static_cast<double>(1 + m_controlRandom.below(20)) / 2;
+    if (m_controls.coldLimits)
+        for (const std::string service : { "orders", "catalog" })
+            m_configuration.warmUps.push_back({ service, warmUp, rate });
     writeConfiguration();
     m_counts.upstreams = least + randomIndex(most - least + 1);
     m_counts.entries = fewestEntries
             + randomIndex((large ? mostEntries : mostEntries / 2) - fewestEntries + 1);
     m_flowInterval = base::duration { 1s } / static_cast<int>(m_counts.upstreams);
+    if (m_controls.coldLimits)
+        m_flowInterval /= static_cast<int>(1 + m_controlRandom.below(mostFlowsPerUpstream));
     drawTroubles();
     addUpstreams(m_counts.upstreams);
     m_links.resize(m_counts.entries * m_upstreams.size());
@@ -250,7 +259,10 @@
         item.zone = i % zoneNames.size();
         item.service = m_twoServices && i % 4 == 3 ? "catalog" : "orders";
         item.slots = static_cast<std::uint32_t>(1 + randomIndex(4));
-        item.tick = [this, &item] { item.agent->tick(m_now); };
+        item.tick = [this, &item] {
+            item.agent->tick(m_now);
+            item.agent->upstreamFlushed(m_now);
+        };
         item.output = std::make_unique<simulated_agent_output>(*this, item);
         if (i < count)
             startUpstream(item);
@@ -387,15 +399,23 @@
 {
     stopAgent(item);
     item.running = true;
-    item.agent = std::make_unique<flow_agent>(agent_identity { m_random.next(), item.service },
-                                              m_codec, m_documents, *item.output, m_agentObserver);
+    const auto bounds = m_controls.coldLimits ? std::optional(coldBounds) : std::nullopt;
+    item.agent = std::make_unique<flow_agent>(
+            agent_identity { m_random.next(),
+                             item.service,
+                             bounds,
+                             { m_controls.pace, m_controls.overloadControl } },
+            m_codec, m_documents, *item.output, m_agentObserver);
     item.tick();
 }
 
 void deployment_simulation::stopAgent(upstream &item)
 {
-    if (item.running)
+    if (item.running) {
         m_counts.held += item.agent->counters().held;
+        m_counts.refusedCold += item.agent->counters().refusedCold;
+        m_counts.overloaded += item.agent->counters().overloaded;
+    }
     item.running = false;
     item.wakes = false;
     ++item.incarnation;
@@ -415,13 +435,16 @@
     for (std::size_t i = 0; i < std::min(seedCount, m_counts.entries); ++i)
         seeds.push_back(static_cast<std::uint32_t>(firstEntryMachine + i));
     item.reader = {};
+    item.evacuation = {};
+    item.learnedAt = {};
     item.startedAt = m_now;
     item.balancer = std::make_unique<entry_balancer>(
             entry_identity { .bootId = m_random.next(),
                              .zone = std::string(zoneNames[item.zone]),
                              .seeds = seeds,
                              .isSeed = std::ranges::find(seeds, item.machine) != seeds.end(),
-                             .firstUseDelay = m_firstUseDelay },
+                             .firstUseDelay = m_firstUseDelay,
+                             .sendsNotices = m_controls.evacuation || m_controls.coldLimits },
             m_codec, m_documents, *item.policy, *item.output, *item.observer);
     item.tick();
 }
@@ -454,9 +477,21 @@
         return;
     const base::duration time =
             m_now < m_storeSlowUntil ? randomDuration(4ms, 1500ms) : randomDuration(2ms, 8ms);
+    upstream_list list = m_store.upstreams();
+    if (m_controls.evacuation) {
+        if (m_controlRandom.below(failedReads) == 0)
+            m_evacuationReadFailedAt = m_now;
+        else
+            item.evacuation = m_store.evacuation();
+        list.evacuation = item.evacuation;
+    }
+    if (m_controls.coldLimits)
+        std::ranges::for_each(list.upstreams, [this](upstream_record &record) {
+            record.warmUpLeft = warmUpLeft(record.incarnation);
+        });
     schedule(time,
-             [this, &item, readAt = m_now, incarnation = item.incarnation,
-              list = m_store.upstreams(), configuration = item.reader.readConfiguration(m_store)] {
+             [this, &item, readAt = m_now, incarnation = item.incarnation, list = std::move(list),
+              configuration = item.reader.readConfiguration(m_store)] {
                  if (item.incarnation != incarnation)
                      return;
                  post(item, [this, &item, readAt, list, configuration] {
@@ -537,9 +572,17 @@
         writeForeignEntriesAtTimes();
     if (m_habits == habits::varied && m_twoServices)
         changeServicesAtTimes();
+    if (m_controls.evacuation) {
+        for (int i = 0; i < unknownZones; ++i)
+            m_evacuationKeys.insert("unknown-" + std::to_string(i));
+        changeEvacuationAtTimes();
+    }
+    if (m_controls.overloadControl || m_controls.pace)
+        slowAllAtTimes();
     repeat(100ms, [this] {
         checkMisrouting();
         checkViews();
+        checkEvacuatedZones();
     });
     repeat(tickInterval, [this] { tickAll(); });
     for (std::size_t i = 0; i < m_entries.size(); ++i)
--- a/packages/flow/tests/deployment_simulation.h
+++ b/packages/flow/tests/deployment_simulation.h
@@ -43,6 +43,15 @@
 };
 inline constexpr std::size_t troubleKinds = 20;
 
+// Settings of a deployment, with the demands on it that they are for.
+struct deployment_controls
+{
+    bool evacuation = false; // zones are evacuated at times
+    bool coldLimits = false; // upstreams publish a warm-up with a rate, and there are more flows
+    bool overloadControl = false; // all upstreams are slow at times
+    bool pace = false;            // likewise
+};
+
 class deployment_simulation
 {
 public:
@@ -60,7 +69,7 @@
     explicit deployment_simulation(std::uint64_t seed,
                                    store_history history = store_history::continuous,
                                    store_writers writers = store_writers::upstreamsOnly,
-                                   habits kind = habits::plain);
+                                   habits kind = habits::plain, deployment_controls enabled = {});
     ~deployment_simulation();
     deployment_simulation(const deployment_simulation &) = delete;
     deployment_simulation &operator=(const deployment_simulation &) = delete;
@@ -88,6 +97,9 @@
         int portsUsedAgain = 0;
         int serviceChanges = 0; // of routes
         int replacedEntries = 0;
+        std::uint64_t refusedCold = 0; // opening packets, by agents
+        std::uint64_t overloaded = 0;  // likewise
+        int judgedSets = 0;            // evacuated zones of entry instances, in normal operation
         std::array<int, troubleKinds> troubles {};
     };
     // Valid after run().
@@ -175,6 +187,16 @@
     void checkReadiness(std::size_t index);
     void setInRotation(entry &item, bool value);
 
+    // Controls.
+    void slowAllAtTimes();
+    void checkColdLimit(upstream &item);
+    // Remaining warm-up of an upstream with this start, in Unix milliseconds.
+    std::chrono::milliseconds warmUpLeft(std::uint64_t born) const;
+    void changeEvacuationAtTimes();
+    void writeEvacuation();
+    void checkEvacuation(const upstream &item, std::size_t entryIndex);
+    void checkEvacuatedZones();
+
     // Troubles.
     void drawTroubles();
     void causeTrouble();
@@ -247,6 +269,17 @@
     const store_writers m_writers;
     base::seeded_random m_habitRandom;
     const habits m_habits;
+    base::seeded_random m_controlRandom;
+    const deployment_controls m_controls;
+    std::set<std::string> m_evacuationKeys; // the operator's newest
+    struct zone_state
+    {
+        bool evacuated = false;
+        base::time_point changedAt {}; // acknowledgement of the store
+        store_revision writtenAt;      // or written again after a restore
+    };
+    std::array<zone_state, 2> m_zones;
+    base::time_point m_evacuationReadFailedAt {};
     std::vector<std::uint16_t> m_closedPorts; // ports whose flows both ends have closed
     std::set<std::string> m_foreignIds;       // entries of other writers
     base::time_point m_now = atMilliseconds(0);
--- a/packages/flow/tests/deployment_troubles.cpp
+++ b/packages/flow/tests/deployment_troubles.cpp
@@ -531,6 +531,7 @@
     schedule(outage, [this, copyTime = randomCopyTime()] {
         m_storeUp = true;
         m_store.restore(copyTime, m_now);
+        std::ranges::for_each(m_entries, [](const auto &item) { item->learnedAt = {}; });
         writeAgain();
     });
 }
@@ -543,6 +544,8 @@
     };
     schedule(delay(longestConfigurationReturn),
              [this] { whenStoreIsUp([this] { writeConfiguration(); }); });
+    if (m_controls.evacuation)
+        schedule(delay(longestReturnToList), [this] { writeEvacuation(); });
     std::set<std::string> former;
     std::ranges::copy(m_store.ids(), std::inserter(former, former.end()));
     for (const auto &item : m_upstreams) {
--- a/packages/flow/tests/deployment_upstreams.cpp
+++ b/packages/flow/tests/deployment_upstreams.cpp
@@ -32,6 +32,7 @@
     item.meanServiceTime = chance(slowUpstreamPercent)
             ? slowUpstreamService
             : randomDuration(fastestService, slowestService);
+    item.coldOpenings.clear();
     item.offered.clear();
     item.flows.clear();
     item.waiting.clear();
@@ -103,6 +104,7 @@
     const std::uint16_t port = head.source.port;
     const std::size_t sender = item.senders[port];
     checkNewFlow(item, head, sender);
+    checkColdLimit(item);
     noteProcessed(item, head, sender);
     if (chance(refusalPercent) || item.waiting.size() >= item.slots * queueLimit) {
         returnPacket(item, head);
--- a/packages/flow/tests/flow_random_test.cpp
+++ b/packages/flow/tests/flow_random_test.cpp
@@ -13,7 +13,7 @@
 
 // First and last seed. ORIOLEHOLD_FLOW_SEEDS=FIRST-LAST replaces the range that CI runs, which
 // begins with 1.
-std::pair<std::uint64_t, std::uint64_t> seeds(std::uint64_t lastInCi = 40)
+std::pair<std::uint64_t, std::uint64_t> seeds(std::uint64_t lastInCi)
 {
     const char *text = std::getenv("ORIOLEHOLD_FLOW_SEEDS");
     if (text == nullptr)
@@ -23,6 +23,50 @@
     return { first, *rest == '-' ? std::strtoull(rest + 1, nullptr, 10) : first };
 }
 
+template<typename Simulation>
+void checkRun(Simulation &&simulation, const std::string &name)
+{
+    const std::string violation = simulation.run(std::chrono::seconds { 30 });
+    const std::string text = name + ": " + violation;
+    CHECK_TRUE_TEXT(violation.empty(), text.c_str());
+}
+
+// Runs each seed of a plan. make returns the simulation of a seed; check gets the counts of its
+// run.
+template<typename Make, typename Check>
+void runSeeds(std::uint64_t lastInCi, const std::string &plan, Make make, Check check)
+{
+    const auto [first, last] = seeds(lastInCi);
+    for (std::uint64_t seed = first; seed <= last; ++seed) {
+        auto simulation = make(seed);
+        checkRun(simulation, "seed " + std::to_string(seed) + plan);
+        check(simulation.counts());
+    }
+}
+
+template<typename Make>
+void runSeeds(std::uint64_t lastInCi, const std::string &plan, Make make)
+{
+    runSeeds(lastInCi, plan, make, [](const auto &) {});
+}
+
+// Runs deployments with the controls of each seed. Returns the sum of a count.
+template<typename Controls, typename Count>
+auto runWithControls(Controls controlsOf, Count count)
+{
+    std::uint64_t total = 0;
+    const auto make = [&](std::uint64_t seed) {
+        using simulation_type = deployment_simulation;
+        const auto history = seed % 3 == 0 ? simulation_type::store_history::restoredAtTimes
+                                           : simulation_type::store_history::continuous;
+        return simulation_type(seed, history, simulation_type::store_writers::upstreamsOnly,
+                               simulation_type::habits::plain, controlsOf(seed));
+    };
+    runSeeds(30, " (controls)", make,
+             [&](const auto &counts) { total += std::invoke(count, counts); });
+    return total;
+}
+
 } // namespace
 
 TEST_GROUP(flow_random) {};
@@ -30,25 +74,15 @@
 // Checks the guarantees for flows under combinations of faults that the other tests do not cover.
 TEST(flow_random, PromisesHoldUnderRandomFaults)
 {
-    const auto [first, last] = seeds();
-    for (std::uint64_t seed = first; seed <= last; ++seed) {
-        flow_simulation simulation(seed);
-        const std::string violation = simulation.run(std::chrono::seconds { 30 });
-        const std::string text = "seed " + std::to_string(seed) + ": " + violation;
-        CHECK_TRUE_TEXT(violation.empty(), text.c_str());
-    }
+    runSeeds(40, "", [](std::uint64_t seed) { return flow_simulation(seed); });
 }
 
 // The result of a slow read may be older than content received from other instances meanwhile.
 TEST(flow_random, PromisesHoldWhileTheStoreIsSlowAtTimes)
 {
-    const auto [first, last] = seeds();
-    for (std::uint64_t seed = first; seed <= last; ++seed) {
-        flow_simulation simulation(seed, flow_simulation::store_speed::slowAtTimes);
-        const std::string violation = simulation.run(std::chrono::seconds { 30 });
-        const std::string text = "seed " + std::to_string(seed) + " (slow store): " + violation;
-        CHECK_TRUE_TEXT(violation.empty(), text.c_str());
-    }
+    runSeeds(40, " (slow store)", [](std::uint64_t seed) {
+        return flow_simulation(seed, flow_simulation::store_speed::slowAtTimes);
+    });
 }
 
 // Seeds of former failures. 131: the agent of a crashed upstream claimed flows that were probed
@@ -56,50 +90,36 @@
 // copy was sent.
 TEST(flow_random, SeedsOfFormerFailuresPass)
 {
-    for (const std::uint64_t seed : { 14, 131 }) {
-        flow_simulation simulation(seed);
-        const std::string violation = simulation.run(std::chrono::seconds { 30 });
-        CHECK_TRUE_TEXT(violation.empty(), violation.c_str());
-    }
+    for (const std::uint64_t seed : { 14, 131 })
+        checkRun(flow_simulation(seed), "seed " + std::to_string(seed));
     // The agent at a reused address refused a packet that was tagged for the former service, and
     // the refusal counted as a denial by the upstream.
-    flow_simulation simulation(76, flow_simulation::store_speed::slowAtTimes);
-    const std::string violation = simulation.run(std::chrono::seconds { 30 });
-    CHECK_TRUE_TEXT(violation.empty(), violation.c_str());
+    checkRun(flow_simulation(76, flow_simulation::store_speed::slowAtTimes), "seed 76");
 }
 
 // A version of the configuration that was written again after a restore of the store was not read,
 // because the watch continued after a revision of the former history.
 TEST(flow_random, SeedsOfMissedConfigurationsPass)
 {
-    for (const std::uint64_t seed : { 131, 193 }) {
-        deployment_simulation simulation(seed,
-                                         deployment_simulation::store_history::restoredAtTimes);
-        const std::string violation = simulation.run(std::chrono::seconds { 30 });
-        CHECK_TRUE_TEXT(violation.empty(), violation.c_str());
-    }
+    constexpr auto restored = deployment_simulation::store_history::restoredAtTimes;
+    for (const std::uint64_t seed : { 131, 193 })
+        checkRun(deployment_simulation(seed, restored), "seed " + std::to_string(seed));
 }
 
 // Lists of a restored store were refused until its revisions had passed the former ones.
 TEST(flow_random, SeedsOfRefusedListsPass)
 {
-    for (const std::uint64_t seed : { 101, 120, 3282 }) {
-        deployment_simulation simulation(seed,
-                                         deployment_simulation::store_history::restoredAtTimes);
-        const std::string violation = simulation.run(std::chrono::seconds { 30 });
-        CHECK_TRUE_TEXT(violation.empty(), violation.c_str());
-    }
+    constexpr auto restored = deployment_simulation::store_history::restoredAtTimes;
+    for (const std::uint64_t seed : { 101, 120, 3282 })
+        checkRun(deployment_simulation(seed, restored), "seed " + std::to_string(seed));
 }
 
 // An instance whose requests for a newer configuration got lost took its view for recent, because
 // summaries confirmed the list of upstreams.
 TEST(flow_random, SeedsOfLostConfigurationsPass)
 {
-    for (const std::uint64_t seed : { 236, 619 }) {
-        deployment_simulation simulation(seed);
-        const std::string violation = simulation.run(std::chrono::seconds { 30 });
-        CHECK_TRUE_TEXT(violation.empty(), violation.c_str());
-    }
+    for (const std::uint64_t seed : { 236, 619 })
+        checkRun(deployment_simulation(seed), "seed " + std::to_string(seed));
 }
 
 // The checks of a run are only meaningful if it has traffic, faults and resets.
@@ -133,45 +153,28 @@
 // Small deployments do not show searches that need several packets, or troubles of single machines.
 TEST(flow_random, PromisesHoldInLargeDeployments)
 {
-    constexpr std::uint64_t lastInCi = 30;
-    const auto [first, last] = seeds(lastInCi);
-    for (std::uint64_t seed = first; seed <= last; ++seed) {
-        deployment_simulation simulation(seed);
-        const std::string violation = simulation.run(std::chrono::seconds { 30 });
-        const std::string text = "seed " + std::to_string(seed) + " (deployment): " + violation;
-        CHECK_TRUE_TEXT(violation.empty(), text.c_str());
-    }
+    runSeeds(30, " (deployment)", [](std::uint64_t seed) { return deployment_simulation(seed); });
 }
 
 // A store that is restored from a copy gives out revisions again: content that is newer in time may
 // have the revision of older content.
 TEST(flow_random, PromisesHoldWhenTheStoreIsRestored)
 {
-    constexpr std::uint64_t lastInCi = 30;
-    const auto [first, last] = seeds(lastInCi);
-    for (std::uint64_t seed = first; seed <= last; ++seed) {
-        deployment_simulation simulation(seed,
-                                         deployment_simulation::store_history::restoredAtTimes);
-        const std::string violation = simulation.run(std::chrono::seconds { 30 });
-        const std::string text = "seed " + std::to_string(seed) + " (restored): " + violation;
-        CHECK_TRUE_TEXT(violation.empty(), text.c_str());
-    }
+    runSeeds(30, " (restored)", [](std::uint64_t seed) {
+        return deployment_simulation(seed, deployment_simulation::store_history::restoredAtTimes);
+    });
 }
 
 // Entries of other writers may be complete: copies of entries, and upstreams that do not exist.
 TEST(flow_random, PromisesHoldAmongEntriesOfOtherWriters)
 {
     using simulation_type = deployment_simulation;
-    constexpr std::uint64_t lastInCi = 20;
-    const auto [first, last] = seeds(lastInCi);
-    for (std::uint64_t seed = first; seed <= last; ++seed) {
-        simulation_type simulation(seed, simulation_type::store_history::continuous,
-                                   simulation_type::store_writers::othersToo);
-        const std::string violation = simulation.run(std::chrono::seconds { 30 });
-        const std::string text = "seed " + std::to_string(seed) + " (other writers): " + violation;
-        CHECK_TRUE_TEXT(violation.empty(), text.c_str());
-        CHECK_TRUE(simulation.counts().foreignEntries > 0);
-    }
+    const auto make = [](std::uint64_t seed) {
+        return simulation_type(seed, simulation_type::store_history::continuous,
+                               simulation_type::store_writers::othersToo);
+    };
+    runSeeds(20, " (other writers)", make,
+             [](const auto &counts) { CHECK_TRUE(counts.foreignEntries > 0); });
 }
 
 // Guards against resets of open flows by instances that do not know the former services of a route,
@@ -179,16 +182,11 @@
 TEST(flow_random, PromisesHoldWhenPortsAreUsedAgainAndRoutesChangeTheirServices)
 {
     using simulation_type = deployment_simulation;
-    constexpr std::uint64_t lastInCi = 20;
-    const auto [first, last] = seeds(lastInCi);
-    for (std::uint64_t seed = first; seed <= last; ++seed) {
-        simulation_type simulation(seed, simulation_type::store_history::continuous,
-                                   simulation_type::store_writers::upstreamsOnly,
-                                   simulation_type::habits::varied);
-        const std::string violation = simulation.run(std::chrono::seconds { 30 });
-        const std::string text = "seed " + std::to_string(seed) + " (varied habits): " + violation;
-        CHECK_TRUE_TEXT(violation.empty(), text.c_str());
-    }
+    runSeeds(20, " (varied habits)", [](std::uint64_t seed) {
+        return simulation_type(seed, simulation_type::store_history::continuous,
+                               simulation_type::store_writers::upstreamsOnly,
+                               simulation_type::habits::varied);
+    });
 }
 
 // The checks above are only meaningful if the runs draw both.
@@ -211,6 +209,31 @@
     CHECK_TRUE(total.replacedEntries >= runs);
 }
 
+// Evacuations begin and end at any time, also while machines, links or the store are disrupted.
+TEST(flow_random, PromisesHoldWhenZonesAreEvacuated)
+{
+    const auto controls = [](std::uint64_t) { return deployment_controls { .evacuation = true }; };
+    CHECK_TRUE(runWithControls(controls, &deployment_simulation::statistics::judgedSets) > 0);
+}
+
+// Guards against too many flows for upstreams that start, while instances know them in part.
+TEST(flow_random, PromisesHoldWhenColdUpstreamsAreLimited)
+{
+    const auto controls = [](std::uint64_t seed) {
+        return deployment_controls { .evacuation = seed % 2 == 0, .coldLimits = true };
+    };
+    CHECK_TRUE(runWithControls(controls, &deployment_simulation::statistics::refusedCold) > 0);
+}
+
+// Requests that are refused or held for longer must not change what becomes of open flows.
+TEST(flow_random, PromisesHoldWithOverloadControlAndPace)
+{
+    const auto controls = [](std::uint64_t seed) {
+        return deployment_controls { seed % 5 == 0, seed % 3 == 0, seed % 4 != 1, seed % 4 != 2 };
+    };
+    CHECK_TRUE(runWithControls(controls, &deployment_simulation::statistics::overloaded) > 0);
+}
+
 // The checks of a restored store are only meaningful if the runs restore it, with traffic.
 TEST(flow_random, RunsWithARestoredStoreIncludeRestores)
 {
--- a/packages/flow/tests/simulated_store.cpp
+++ b/packages/flow/tests/simulated_store.cpp
@@ -1,6 +1,7 @@
 #include "simulated_store.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace oriolehold::flow {
 
@@ -37,6 +38,25 @@
     m_content.configurationRevision = m_content.revision;
 }
 
+void simulated_store::evacuate(const std::set<std::string> &zones, base::time_point now)
+{
+    if (zones == m_content.evacuatedZones)
+        return;
+    beginChange(now);
+    m_content.evacuatedZones = zones;
+}
+
+zone_evacuation simulated_store::evacuation() const
+{
+    std::set<std::string> listed;
+    for (const auto &[id, record] : m_content.upstreams)
+        listed.insert(record.zone);
+    zone_evacuation result { revision(), {} };
+    std::ranges::set_intersection(m_content.evacuatedZones, listed,
+                                  std::back_inserter(result.zones));
+    return result;
+}
+
 std::vector<std::string> simulated_store::ids() const
 {
     std::vector<std::string> result;
--- a/packages/flow/tests/simulated_store.h
+++ b/packages/flow/tests/simulated_store.h
@@ -4,6 +4,7 @@
 #include "oriolehold/flow/routing_view.h"
 
 #include <map>
+#include <set>
 #include <vector>
 
 namespace oriolehold::flow {
@@ -23,6 +24,8 @@
     void put(const upstream_record &record, base::time_point now);
     void remove(const std::string &id, base::time_point now);
     void publish(const flow_configuration &configuration, base::time_point now);
+    // Replaces the names of the evacuated zones.
+    void evacuate(const std::set<std::string> &zones, base::time_point now);
 
     // Whether there is an entry with the ID.
     bool contains(const std::string &id) const { return m_content.upstreams.contains(id); }
@@ -30,6 +33,8 @@
     upstream_list upstreams() const;
     const flow_configuration &configuration() const { return m_content.configuration; }
     store_revision revision() const { return { m_era, m_content.revision }; }
+    // Of the names, those that are zones of listed upstreams, as the store's client returns them.
+    zone_evacuation evacuation() const;
     // Watches the configuration after a revision, without a wait.
     watch_result watchConfiguration(std::uint64_t after) const;
 
@@ -47,6 +52,7 @@
         std::map<std::string, upstream_record> upstreams; // by ID
         flow_configuration configuration;
         std::uint64_t configurationRevision = 1;
+        std::set<std::string> evacuatedZones;
     };
 
     // Keeps a copy of the content before a change.
