--- a/packages/flow/tests/cold_agent_test.cpp
+++ b/packages/flow/tests/cold_agent_test.cpp
@@ -77,3 +77,17 @@
     notify({ 8, 0s, 20, {}, false }, 5000);
     CHECK_FALSE(agent.limitsOpenings(atMilliseconds(5100)));
 }
+
+// Guards against a flow that counts as older than the restart because its first opening packet is.
+TEST(cold_agent, FlowThatTheRestartedUpstreamAcceptedDoesNotProveThatItRuns)
+{
+    notify({ 7, 0s, 20, {}, false }, 0);
+    open(1, 0);
+    open(2, 0);
+    flushAndTick(60);
+    open(1, 200, 1, 1);
+    accept(205, 0, 1);
+    for (const std::int64_t at : { 300, 400 })
+        answer(fromUpstream(10, 1), at);
+    CHECK_TRUE(agent.limitsOpenings(atMilliseconds(400)));
+}
