Filter evacuated zones by each list in random runs

The simulated reader kept the set of evacuated zones as filtered by the list that it was read with. The client of the store keeps all names and filters them by each list, so a later list without a new set has zones that came back.

--- a/packages/flow/tests/deployment_simulation.cpp
+++ b/packages/flow/tests/deployment_simulation.cpp
@@ -483,7 +483,12 @@
             m_evacuationReadFailedAt = m_now;
         else
             item.evacuation = m_store.evacuation();
+        // As the store's client does, without names that no zone of a listed upstream has.
         list.evacuation = item.evacuation;
+        std::erase_if(list.evacuation.zones, [&](const std::string &zone) {
+            return std::ranges::find(list.upstreams, zone, &upstream_record::zone)
+                    == list.upstreams.end();
+        });
     }
     if (m_controls.coldLimits)
         std::ranges::for_each(list.upstreams, [this](upstream_record &record) {
--- a/packages/flow/tests/simulated_store.cpp
+++ b/packages/flow/tests/simulated_store.cpp
@@ -1,7 +1,6 @@
 #include "simulated_store.h"
 
 #include <algorithm>
-#include <iterator>
 
 namespace oriolehold::flow {
 
@@ -48,13 +47,7 @@
 
 zone_evacuation simulated_store::evacuation() const
 {
-    std::set<std::string> listed;
-    for (const auto &[id, record] : m_content.upstreams)
-        listed.insert(record.zone);
-    zone_evacuation result { revision(), {} };
-    std::ranges::set_intersection(m_content.evacuatedZones, listed,
-                                  std::back_inserter(result.zones));
-    return result;
+    return { revision(), { m_content.evacuatedZones.begin(), m_content.evacuatedZones.end() } };
 }
 
 std::vector<std::string> simulated_store::ids() const
--- a/packages/flow/tests/simulated_store.h
+++ b/packages/flow/tests/simulated_store.h
@@ -33,7 +33,6 @@
     upstream_list upstreams() const;
     const flow_configuration &configuration() const { return m_content.configuration; }
     store_revision revision() const { return { m_era, m_content.revision }; }
-    // Of the names, those that are zones of listed upstreams, as the store's client returns them.
     zone_evacuation evacuation() const;
     // Watches the configuration after a revision, without a wait.
     watch_result watchConfiguration(std::uint64_t after) const;
