--- a/packages/flow/tests/opening_limiter_test.cpp
+++ b/packages/flow/tests/opening_limiter_test.cpp
@@ -57,6 +57,15 @@
     CHECK_EQUAL(4, offer(100, 1050));
 }
 
+// Guards against a window that begins anew each second: two of them would pass within one second.
+TEST(opening_limiter, UnknownStateIsLimitedInAnySecond)
+{
+    offer(1, 0);
+    for (const std::int64_t at : { 1040, 1060 })
+        offer(10, at);
+    CHECK_TRUE(largestSecond() <= 5);
+}
+
 TEST(opening_limiter, NothingIsLimitedWithoutBoundsOrRateOrAfterTheWarmUp)
 {
     opening_limiter unbounded { std::nullopt };
