Draw more seeds where the checks of two runs found nothing to check

Cause: with claims at the end of the handshake, seeds 1 to 12 of the large deployments have no packet at another upstream in calm times (judgedStrays), and the runs with a first-use delay end 77 searches by their list in 80 seeds. Change: 24 and 140 seeds with the same bounds.

--- a/packages/flow/tests/flow_random_test.cpp
+++ b/packages/flow/tests/flow_random_test.cpp
@@ -141,7 +141,7 @@
 // have one.
 TEST(flow_random, RunsWithADelayEndSearchesByRecentLists)
 {
-    constexpr std::uint64_t lastSeed = 160;
+    constexpr std::uint64_t lastSeed = 280;
     std::uint64_t waitsAvoided = 0;
     for (std::uint64_t seed = 1; seed <= lastSeed; ++seed) {
         if (simulatedFirstUseDelay(seed) == std::chrono::milliseconds::zero())
@@ -259,7 +259,7 @@
 TEST(flow_random, LargeDeploymentsIncludeTrafficAndTroubles)
 {
     deployment_simulation::statistics total;
-    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    for (std::uint64_t seed = 1; seed <= 24; ++seed) {
         deployment_simulation simulation(seed);
         simulation.run(std::chrono::seconds { 30 });
         const deployment_simulation::statistics &counts = simulation.counts();
--- a/packages/flow/tests/opening_limiter_test.cpp
+++ b/packages/flow/tests/opening_limiter_test.cpp
@@ -51,7 +51,7 @@
     offer(1, 0);
     for (const std::int64_t at : { 1040, 1060 })
         offer(10, at);
-    CHECK_TRUE(largestSecond() <= 5);
+    CHECK_TRUE(largestSecond(passed) <= 5);
 }
 
 TEST(opening_limiter, NothingIsLimitedWithoutBoundsOrRateOrAfterTheWarmUp)
