Refuse opening packets at the entry instance by the agents' reports

Cause: at twice the capacity agents refused 1.8 packets for each opening packet, because entry instances did not know that no upstream could serve it in time.

Change: under overload control the agent reports when a new request would be answered, by priority (a last field of the capacity report, which the previous release ignores and need not send). A class of its own, overload_refusal, forecasts the wait at each upstream and shares it among the entry instances. Placement chooses among the upstreams that are in time by forecast; if there is none, the first copy is reset. While an agent refuses packets, it reports free places early.

--- a/packages/daemon/src/decision_log.cpp
+++ b/packages/daemon/src/decision_log.cpp
@@ -109,7 +109,9 @@
                    { "candidates", decision.candidates },
                    { "probes", decision.probes },
                    { "unprobed", decision.unprobed },
-                   { "unanswered", decision.unanswered } });
+                   { "unanswered", decision.unanswered },
+                   { "expected_wait_ms", milliseconds(decision.expectedWait) },
+                   { "objective_ms", milliseconds(decision.objective) } });
 }
 
 void decision_log::directoryChanged(const flow::directory_change &change)
--- a/packages/entry/src/flow_entry_daemon.cpp
+++ b/packages/entry/src/flow_entry_daemon.cpp
@@ -286,6 +286,7 @@
     }
     counter("packets_dropped_total", m_publishedCounters.dropped);
     counter("flow_refused_evacuated_total", m_publishedCounters.refusedEvacuated);
+    counter("flow_refused_overload_total", m_publishedCounters.refusedOverload);
     counter("store_restores_total", m_publishedCounters.storeRestores);
     counter("store_requests_total", m_publishedSourceCounters.requests);
     counter("store_entries_rejected_total", m_publishedSourceCounters.rejections);
--- a/packages/flow/include/oriolehold/flow/admission_control.h
+++ b/packages/flow/include/oriolehold/flow/admission_control.h
@@ -37,6 +37,12 @@
     // is accepted counts until forget() or the end of requestTime.
     bool admit(const flow_key &key, const packet_tag &tag, base::duration elapsed,
                const admission_load &load, base::time_point now);
+    // Time until the request of an opening packet that arrives now begins.
+    base::duration waitOf(std::uint8_t priority, const admission_load &load, base::time_point now);
+    // Longest time from the first copy of an opening packet to the begin of its request with which
+    // the request is answered within the objective with enough certainty. An objective of 0 means
+    // "unknown".
+    static base::duration longestBegin(const packet_tag &tag, base::duration meanServiceTime);
     // The first request of the flow has arrived, or the flow is gone.
     void forget(const flow_key &key) { m_expected.erase(key); }
 
--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -4,6 +4,7 @@
 #include "oriolehold/flow/flow_observer.h"
 #include "oriolehold/flow/flow_search.h"
 #include "oriolehold/flow/notice_schedule.h"
+#include "oriolehold/flow/overload_refusal.h"
 #include "oriolehold/flow/packet.h"
 #include "oriolehold/flow/peer_message.h"
 #include "oriolehold/flow/placement_policy.h"
@@ -61,6 +62,8 @@
     std::uint64_t dropped = 0;   // packets discarded
     std::uint64_t storeRestores = 0;
     std::uint64_t refusedEvacuated = 0; // opening packets: the service's zones are evacuated
+    // Opening packets that no upstream could serve in time, by the reports of the agents.
+    std::uint64_t refusedOverload = 0;
     // Resets that did not wait for a list newer than the search.
     std::uint64_t waitsAvoided = 0;
     // Opening packets for which new upstreams were left out.
@@ -210,6 +213,8 @@
     void resetOrDrop(const packet_head &head, std::string_view reason, bool certain,
                      base::time_point now);
     void resetClient(const packet_head &head, std::string_view reason, base::time_point now);
+    // Resets the client for the reason in the decision, which it completes for the log.
+    void resetClient(const packet_head &head, flow_decision decision, base::time_point now);
     // Continues all searches and ends those that have a result or have expired.
     void updateSearches(base::time_point now);
     // Continues one search. listSufficesFor tells whether a route's searches need no newer list.
@@ -240,6 +245,10 @@
     bool leavesEvacuatedZone(const owner &item) const;
     // Refuses an opening packet for which there is no upstream.
     void refuseOpening(const packet_head &head, std::string_view service, base::time_point now);
+    // Refuses an opening packet that no upstream can serve in time. Returns false if it must be
+    // placed: an upstream may have accepted another copy.
+    bool refuseForOverload(const packet_head &head, const packet_tag &tag,
+                           const overload_refusal::choice &choice, base::time_point now);
     // Time of the next missing answer or result of a probe; the maximum time when none is awaited.
     base::time_point nextProbeExpiry() const;
     // Returns the service for a new flow; nullptr if none of the route's services takes any.
@@ -259,6 +268,8 @@
     boost::unordered_flat_set<std::string> m_services; // of the configuration
     upstream_directory m_directory;
     first_use_delay m_firstUse;
+    base::seeded_random m_random;
+    overload_refusal m_overload { m_random };
     boost::unordered_flat_map<flow_key, owner, flow_key_hash> m_owners;
     boost::unordered_flat_map<flow_key, flow_search, flow_key_hash> m_searches;
     probe_window m_probeWindow;
--- a/packages/flow/include/oriolehold/flow/flow_agent.h
+++ b/packages/flow/include/oriolehold/flow/flow_agent.h
@@ -234,8 +234,14 @@
     void returnUnansweredOpenings(base::time_point now);
     void expire(base::time_point now);
     void reportLoad(base::time_point now);
+    // The next report follows the last one by at most the gap.
+    void hastenReport(base::duration gap);
     // What the agent limits at present.
     capacity_report capacity(base::time_point now);
+    // What an opening packet of this priority would wait for.
+    admission_load admissionLoad(std::uint8_t priority, base::time_point now) const;
+    // Expected waits for the capacity report, while the agent refuses opening packets.
+    capacity_report::priority_waits expectedWaits(base::time_point now);
     // Whether an opening packet must not reach the upstream; then it is returned as refused.
     bool refusesOpening(const flow_key &key, const base::endpoint &entry, const packet_head &head,
                         base::byte_view packet, base::time_point now);
@@ -268,7 +274,11 @@
     base::time_point m_capacityReportsUntil {};
     base::time_point m_nextCapacityReport {};
     capacity_report m_reportedCapacity;
+    base::time_point m_overloadedUntil {}; // expected waits are reported until then
+    base::time_point m_refusingUntil {};   // reports may be early until then
+    bool m_reportedFull = false;           // the last report stated a wait for a place
     base::time_point m_nextReport {};
+    base::time_point m_lastReportAt {};
     base::time_point m_nextAnnouncement {};
     base::time_point m_nextExpiry {};
     base::time_point m_nextTick {}; // when the next call of tick() is due
--- a/packages/flow/include/oriolehold/flow/flow_observer.h
+++ b/packages/flow/include/oriolehold/flow/flow_observer.h
@@ -36,14 +36,16 @@
     std::string_view upstream {};    // its id
     std::string_view reason {};
     std::uint64_t configurationVersion = 0;
-    base::duration viewAge {};    // since the list of upstreams was read
-    base::duration reportAge {};  // since the agent's last report
-    base::duration elapsed {};    // since the start of the search
-    std::uint32_t running = 0;    // requests at the upstream
-    std::uint32_t candidates = 0; // upstreams considered or searched, or entry instances notified
-    std::uint32_t probes = 0;     // sent in the search
-    std::uint32_t unprobed = 0;   // candidates of the search that got no probe
-    std::uint32_t unanswered = 0; // candidates of the search that got a probe and did not deny
+    base::duration viewAge {};      // since the list of upstreams was read
+    base::duration reportAge {};    // since the agent's last report
+    base::duration elapsed {};      // since the start of the search
+    std::uint32_t running = 0;      // requests at the upstream
+    std::uint32_t candidates = 0;   // upstreams considered or searched, or entry instances notified
+    std::uint32_t probes = 0;       // sent in the search
+    std::uint32_t unprobed = 0;     // candidates of the search that got no probe
+    std::uint32_t unanswered = 0;   // candidates of the search that got a probe and did not deny
+    base::duration expectedWait {}; // the shortest that agents reported; of a refusal for overload
+    base::duration objective {};    // of the route; of a refusal for overload
 };
 
 // Times of one request, counted from its first packet at the agent.
--- a/packages/flow/include/oriolehold/flow/peer_message.h
+++ b/packages/flow/include/oriolehold/flow/peer_message.h
@@ -3,6 +3,7 @@
 #include "oriolehold/flow/packet.h"
 #include "oriolehold/flow/routing_view.h"
 
+#include <array>
 #include <variant>
 #include <vector>
 
@@ -139,12 +140,28 @@
     // Interval of unchanged ones; two may be lost. Changed ones are sent with the next report.
     static constexpr std::chrono::milliseconds repeatInterval { 500 };
     static constexpr std::uint16_t unlimited = 0xffff;
+    static constexpr std::size_t priorities = 16;
+    using priority_waits = std::array<std::uint16_t, priorities>;
+
+    static constexpr priority_waits unlimitedWaits()
+    {
+        priority_waits waits {};
+        waits.fill(unlimited);
+        return waits;
+    }
 
     // Opening packets that the agent accepts until its next report, from all entry instances.
     std::uint16_t openingRoom = unlimited;
     bool evacuated = false;        // it refuses opening packets, because its zone is evacuated
     std::uint32_t concurrency = 0; // requests that its upstream gets at the same time, thousandths;
                                    // 0: no limit
+    // Under overload control: from now to the answer of a new request, with the mean service time,
+    // in milliseconds, by priority. One value would refuse urgent requests because of others that
+    // may wait for longer.
+    priority_waits expectedWait = unlimitedWaits();
+
+    // Whether expectedWait says anything.
+    bool limitsWaits() const { return expectedWait != unlimitedWaits(); }
 
     bool operator==(const capacity_report &) const = default;
 };
--- a/packages/flow/include/oriolehold/flow/reset_reason.h
+++ b/packages/flow/include/oriolehold/flow/reset_reason.h
@@ -18,14 +18,18 @@
     static constexpr std::string_view absentByKnownList =
             "no upstream holds the flow, and the list is recent enough";
 
+    static constexpr std::string_view overloaded =
+            "overload: no upstream can serve the flow within its objective";
+
     // Label values of the metric. Others count as the last one.
-    static constexpr std::array<std::string_view, 7> reasons {
+    static constexpr std::array<std::string_view, 8> reasons {
         "no route",
         "no service of the route takes flows",
         "no upstream accepts flows",
         "refused by the upstreams",
         absent,
         absentByKnownList,
+        overloaded,
         "other",
     };
 
--- a/packages/flow/include/oriolehold/flow/upstream_directory.h
+++ b/packages/flow/include/oriolehold/flow/upstream_directory.h
@@ -3,6 +3,7 @@
 #include "oriolehold/flow/opening_share.h"
 #include "oriolehold/flow/peer_message.h"
 #include "oriolehold/flow/routing_view.h"
+#include "oriolehold/flow/wait_forecast.h"
 
 #include <boost/unordered/unordered_flat_map.hpp>
 
@@ -30,6 +31,7 @@
     base::time_point capacityAt {};          // arrival of the capacity report; epoch: never
     std::uint32_t assignedSinceCapacity = 0; // flows, since the capacity report
     opening_share share;                     // while its agent limits the opening packets
+    wait_forecast forecast;                  // while its agent reports expected waits
     bool inEvacuatedZone = false;
     base::time_point heardAt {};           // last message of its agent, at first when it was added
     std::uint32_t assignedSinceReport = 0; // flows
--- a/packages/flow/src/admission_control.cpp
+++ b/packages/flow/src/admission_control.cpp
@@ -28,17 +28,29 @@
             m_expected, [=](const auto &item) { return item.second.priority <= priority; }));
 }
 
-bool admission_control::admit(const flow_key &key, const packet_tag &tag, base::duration elapsed,
-                              const admission_load &load, base::time_point now)
+base::duration admission_control::waitOf(std::uint8_t priority, const admission_load &load,
+                                         base::time_point now)
+{
+    const std::uint64_t ahead =
+            std::uint64_t { load.running } + load.held + expected(priority, now);
+    return expectedWait(ahead, load.places, load.meanServiceTime);
+}
+
+base::duration admission_control::longestBegin(const packet_tag &tag,
+                                               base::duration meanServiceTime)
 {
     const base::duration objective =
             tag.latencyObjective.count() > 0 ? tag.latencyObjective : defaultObjective;
-    const std::uint64_t ahead =
-            std::uint64_t { load.running } + load.held + expected(tag.priority, now);
-    const base::duration wait = expectedWait(ahead, load.places, load.meanServiceTime);
     const int factor = tag.priority == 0 ? urgentFactor : admissionFactor;
+    return objective - factor * meanServiceTime;
+}
+
+bool admission_control::admit(const flow_key &key, const packet_tag &tag, base::duration elapsed,
+                              const admission_load &load, base::time_point now)
+{
+    const base::duration wait = waitOf(tag.priority, load, now);
     // A free place is given also to a request that is late: no other one needs it.
-    if (wait > base::duration::zero() && elapsed + wait + factor * load.meanServiceTime > objective)
+    if (wait > base::duration::zero() && elapsed + wait > longestBegin(tag, load.meanServiceTime))
         return false;
     m_expected[key] = { tag.priority, now + requestTime };
     return true;
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -48,7 +48,7 @@
     : m_identity(std::move(identity)), m_codec(codec), m_policy(policy), m_output(output),
       m_observer(observer), m_view(documents, output, *this),
       m_schedule(m_identity.bootId, !m_identity.isSeed && !m_identity.seeds.empty()),
-      m_firstUse(m_identity.firstUseDelay)
+      m_firstUse(m_identity.firstUseDelay), m_random(m_identity.bootId)
 { }
 
 const flow_route *entry_balancer::routeOf(const base::endpoint &service) const
@@ -174,7 +174,11 @@
     }
     auto candidates = m_directory.eligible(*service);
     m_counters.firstUsesDelayed += m_firstUse.removeUnknown(candidates, now) ? 1 : 0;
-    known_upstream *chosen = m_policy.choose(candidates, m_identity.zone, now);
+    const packet_tag tag = tagOf(instruction::deliver, 0, &route);
+    const auto usable = m_overload.choose(candidates, tag, now);
+    if (usable.refuses && refuseForOverload(head, tag, usable, now))
+        return;
+    known_upstream *chosen = m_policy.choose(usable.upstreams, m_identity.zone, now);
     if (chosen == nullptr) {
         refuseOpening(head, *service, now);
         return;
@@ -217,6 +221,24 @@
                 !m_directory.empty() && !mayBeAccepted, now);
 }
 
+bool entry_balancer::refuseForOverload(const packet_head &head, const packet_tag &tag,
+                                       const overload_refusal::choice &choice, base::time_point now)
+{
+    const auto known = m_owners.find(keyOfClientPacket(head));
+    const bool mayBeAccepted = known != m_owners.end() && known->second.mayBeAccepted;
+    if (mayBeAccepted || head.retransmitCount() > 0)
+        return false;
+    if (known != m_owners.end())
+        m_owners.erase(known);
+    ++m_counters.refusedOverload;
+    resetClient(head,
+                flow_decision { .reason = reset_counters::overloaded,
+                                .expectedWait = choice.expectedWait,
+                                .objective = tag.latencyObjective },
+                now);
+    return true;
+}
+
 bool entry_balancer::leavesEvacuatedZone(const owner &item) const
 {
     const known_upstream *known = m_directory.find(item.machine);
@@ -291,8 +313,11 @@
                                     const flow_route &route, base::time_point now)
 {
     const auto known = m_owners.find(keyOfClientPacket(head));
-    if (known_upstream *upstream = m_directory.find(known->second.machine))
+    if (known_upstream *upstream = m_directory.find(known->second.machine)) {
         upstream->avoidUntil = now + refusalAvoidance;
+        if (head.tag.kind == instruction::refused)
+            m_overload.refused(*upstream, now);
+    }
     if (head.tag.kind == instruction::unanswered)
         known->second.mayBeAccepted = true;
     if (++known->second.refusals < maxRefusals) {
@@ -357,16 +382,22 @@
 
 void entry_balancer::resetClient(const packet_head &head, std::string_view reason,
                                  base::time_point now)
+{
+    resetClient(head, flow_decision { .reason = reason }, now);
+}
+
+void entry_balancer::resetClient(const packet_head &head, flow_decision decision,
+                                 base::time_point now)
 {
     m_codec.writeReset(head, m_scratch);
     m_output.sendToClient(head.source.address, m_scratch);
     ++m_counters.resets;
-    m_counters.resetsByReason.add(reason);
-    m_observer.decisionMade({ .kind = decision_kind::reset,
-                              .flow = keyOfClientPacket(head),
-                              .reason = reason,
-                              .configurationVersion = m_view.configuration().version,
-                              .viewAge = now - m_directory.readAt() });
+    m_counters.resetsByReason.add(decision.reason);
+    decision.kind = decision_kind::reset;
+    decision.flow = keyOfClientPacket(head);
+    decision.configurationVersion = m_view.configuration().version;
+    decision.viewAge = now - m_directory.readAt();
+    m_observer.decisionMade(decision);
 }
 
 void entry_balancer::routesChanged(const flow_configuration &configuration)
--- a/packages/flow/src/flow_agent.cpp
+++ b/packages/flow/src/flow_agent.cpp
@@ -24,6 +24,15 @@
 // A later call of tick() means that the process has stalled, and that answers of the upstream may
 // wait in its socket.
 constexpr base::duration stallTime = 20ms;
+// Expected waits are reported for this time after the agent refused an opening packet because of
+// overload, or reported that there is no free place. Under twice the capacity single reports state
+// no wait, and an upstream without a limit draws what the others cannot take.
+constexpr base::duration overloadReportTime = 1s;
+// Shortest times from a report of expected waits to one that is sent early: while opening packets
+// are refused or a place is free, and when a place is free again after a report that there was
+// none. The queue that an objective of 250 ms permits empties within half of the report interval.
+constexpr base::duration overloadReportGap = 50ms;
+constexpr base::duration idleReportGap = 20ms;
 // Unanswered packets until the upstream is reported as unresponsive. A single one may be lost.
 constexpr std::uint32_t unresponsiveAfter = 2;
 // The service of the upstream is announced with the answer to the first hellos of an instance, and
@@ -250,13 +259,12 @@
         return false;
     const std::size_t copies =
             std::min<std::size_t>(head.retransmitCount(), retransmitTimes.size() - 1);
-    const admission_load load { m_holdQueue.places(), m_load.running(),
-                                static_cast<std::uint32_t>(
-                                        m_holdQueue.heldInTime(head.tag.priority, now)),
-                                m_load.meanServiceTime() };
-    if (m_admission.admit(key, head.tag, retransmitTimes[copies], load, now))
+    if (m_admission.admit(key, head.tag, retransmitTimes[copies],
+                          admissionLoad(head.tag.priority, now), now))
         return false;
     ++m_counters.overloaded;
+    hastenReport(m_overloadedUntil <= now ? base::duration::zero() : overloadReportGap);
+    m_overloadedUntil = m_refusingUntil = now + overloadReportTime;
     m_observer.decisionMade({ .kind = decision_kind::openingRefused,
                               .flow = key,
                               .machine = entry.address,
@@ -266,6 +274,33 @@
     return true;
 }
 
+admission_load flow_agent::admissionLoad(std::uint8_t priority, base::time_point now) const
+{
+    return { m_holdQueue.places(), m_load.running(),
+             static_cast<std::uint32_t>(m_holdQueue.heldInTime(priority, now)),
+             m_load.meanServiceTime() };
+}
+
+capacity_report::priority_waits flow_agent::expectedWaits(base::time_point now)
+{
+    capacity_report::priority_waits waits = capacity_report::unlimitedWaits();
+    const base::duration mean = m_load.meanServiceTime();
+    m_reportedFull = false;
+    if (now >= m_overloadedUntil || mean == base::duration::zero())
+        return waits;
+    for (std::size_t i = 0; i < waits.size(); ++i) {
+        const auto priority = static_cast<std::uint8_t>(i);
+        const base::duration wait = m_admission.waitOf(priority, admissionLoad(priority, now), now);
+        m_reportedFull = m_reportedFull || wait > base::duration::zero();
+        const auto whole = std::chrono::ceil<std::chrono::milliseconds>(wait + mean).count();
+        waits[i] = static_cast<std::uint16_t>(
+                std::min<std::int64_t>(whole, capacity_report::unlimited - 1));
+    }
+    if (m_reportedFull)
+        m_overloadedUntil = now + overloadReportTime;
+    return waits;
+}
+
 void flow_agent::forgetFormerFlow(const flow_key &key, const packet_head &opening,
                                   base::time_point now)
 {
@@ -713,6 +748,11 @@
     m_nextExpiry = now + expiryInterval;
 }
 
+void flow_agent::hastenReport(base::duration gap)
+{
+    m_nextReport = std::min<base::time_point>(m_nextReport, m_lastReportAt + gap);
+}
+
 void flow_agent::reportLoad(base::time_point now)
 {
     // Under overload control late requests delay no others.
@@ -728,7 +768,8 @@
     if (limits != capacity_report {})
         m_capacityReportsUntil = now + capacity_report::lifetime;
     const bool tellsLimits = now < m_capacityReportsUntil
-            && (limits != m_reportedCapacity || now >= m_nextCapacityReport);
+            && (limits != m_reportedCapacity || limits.limitsWaits()
+                || now >= m_nextCapacityReport);
     for (const auto &[machine, entry] : m_entries) {
         m_output.sendMessage(machine, report);
         if (tellsLimits)
@@ -739,6 +780,7 @@
         m_nextCapacityReport = now + capacity_report::repeatInterval;
     }
     m_nextReport = now + reportInterval;
+    m_lastReportAt = now;
     if (now < m_nextAnnouncement)
         return;
     for (const auto &[machine, entry] : m_entries)
@@ -756,6 +798,7 @@
     }
     result.evacuated = evacuated(now);
     result.concurrency = m_pace.concurrency();
+    result.expectedWait = expectedWaits(now);
     return result;
 }
 
@@ -776,6 +819,8 @@
     releaseOpenings(now);
     if (const auto change = m_pace.change())
         m_observer.paceChanged(*change);
+    if (now < m_refusingUntil && m_load.running() < m_holdQueue.places())
+        hastenReport(m_reportedFull ? idleReportGap : overloadReportGap);
     if (now >= m_nextReport)
         reportLoad(now);
     if (now >= m_nextExpiry)
--- a/packages/wire/src/flow_codec.cpp
+++ b/packages/wire/src/flow_codec.cpp
@@ -4,10 +4,43 @@
 
 #include "internal/serialization.h"
 
+#include <cereal/types/array.hpp>
 #include <cereal/types/variant.hpp>
 
 namespace oriolehold {
 
+namespace wire {
+
+namespace {
+
+thread_local internal::buffered_stream<std::ostream, internal::append_buffer> output;
+thread_local internal::buffered_stream<std::istream, internal::view_buffer> input;
+
+// Serialization of the last field of a message if the previous release does not send it. It keeps
+// its value then.
+template<typename Value>
+struct optional_last
+{
+    Value &value;
+
+    template<typename Archive>
+    void save(Archive &archive) const
+    {
+        archive(value);
+    }
+
+    template<typename Archive>
+    void load(Archive &archive)
+    {
+        if (input.buffer.in_avail() > 0)
+            archive(value);
+    }
+};
+
+} // namespace
+
+} // namespace wire
+
 namespace flow {
 
 using wire::internal::bytes;
@@ -105,7 +138,8 @@
 template<typename Archive>
 void serialize(Archive &archive, capacity_report &value)
 {
-    archive(value.openingRoom, flag { value.evacuated }, value.concurrency);
+    archive(value.openingRoom, flag { value.evacuated }, value.concurrency,
+            wire::optional_last<capacity_report::priority_waits> { value.expectedWait });
 }
 
 template<typename Archive>
@@ -166,9 +200,6 @@
 
 constexpr std::uint8_t protocolVersion = 2;
 
-thread_local internal::buffered_stream<std::ostream, internal::append_buffer> output;
-thread_local internal::buffered_stream<std::istream, internal::view_buffer> input;
-
 template<typename Value>
 void append(const Value &value, base::byte_vector &bytes)
 {
