--- a/packages/flow/include/oriolehold/flow/tagged_sender.h
+++ b/packages/flow/include/oriolehold/flow/tagged_sender.h
@@ -16,9 +16,11 @@
         : m_codec(codec), m_output(output)
     { }
 
+    // Without a route the tag has the default priority and no times.
+    static packet_tag tagOf(packet_tag::instruction kind, std::uint32_t digest,
+                            const flow_route *route);
     // Returns a tagged copy of the packet, which is valid until the next call. digest is that of
-    // the service that the packet is for. Without a route the tag has the default priority and no
-    // times.
+    // the service that the packet is for.
     const base::byte_vector &tagged(packet_tag::instruction kind, std::uint32_t digest,
                                     const flow_route *route, base::byte_view packet);
     // Sends a tagged copy to the agent on the machine.
--- a/packages/flow/src/tagged_sender.cpp
+++ b/packages/flow/src/tagged_sender.cpp
@@ -2,8 +2,8 @@
 
 namespace oriolehold::flow {
 
-const base::byte_vector &tagged_sender::tagged(packet_tag::instruction kind, std::uint32_t digest,
-                                               const flow_route *route, base::byte_view packet)
+packet_tag tagged_sender::tagOf(packet_tag::instruction kind, std::uint32_t digest,
+                                const flow_route *route)
 {
     packet_tag tag { kind, digest };
     if (route != nullptr) {
@@ -11,7 +11,13 @@
         tag.latencyObjective = route->latencyObjective;
         tag.timeout = route->timeout;
     }
-    m_codec.copyTagged(packet, tag, m_copy);
+    return tag;
+}
+
+const base::byte_vector &tagged_sender::tagged(packet_tag::instruction kind, std::uint32_t digest,
+                                               const flow_route *route, base::byte_view packet)
+{
+    m_codec.copyTagged(packet, tagOf(kind, digest, route), m_copy);
     return m_copy;
 }
 
