--- a/packages/flow/include/oriolehold/flow/first_use_delay.h
+++ b/packages/flow/include/oriolehold/flow/first_use_delay.h
@@ -24,9 +24,9 @@
     // A longer time between two calls of observe() means that the process has stalled. Its sockets
     // may hold lists that are older than they seem.
     static constexpr std::chrono::milliseconds stallTime { 100 };
-    // An instance that starts after a release knows only the upstreams that started longStartTime
-    // and the delay before, and may use the others at once. To each such instance an address is
-    // known that has been listed here for this time and the delay.
+    // An instance that starts now knows the upstreams that started longStartTime and the delay
+    // before, and uses all if it knows none. An address that has been listed here for this time and
+    // the delay is known to each such instance.
     static constexpr std::chrono::seconds knownToAllTime = longStartTime + base::maxClockSkew;
     // With a single one, its end and the start of another one may lie between two lists.
     static constexpr std::size_t leastKnownUpstreams = 2;
@@ -46,14 +46,11 @@
     // Whether new flows may go to the address: it has been in the lists for the delay, or the first
     // list has an entry of a long-started upstream with it.
     bool isKnown(std::uint32_t machine, base::time_point now) const;
-    // Removes candidates whose addresses are not known, unless none is. If fewer than three
-    // quarters are known, those of the first list stay, too: an instance that starts after a
-    // release would place all flows on the upstreams that the release has left out. Returns whether
-    // it removed any.
+    // Removes candidates whose addresses are not known, unless none is known. Returns whether it
+    // removed any.
     bool removeUnknown(std::vector<known_upstream *> &candidates, base::time_point now) const;
     // Whether no instance uses an upstream that the last list lacks. candidates are the upstreams
-    // in the list that take flows of one service. Seven eighths of them have to be known to all
-    // instances, so that three quarters of those in a newer list are.
+    // in the list that take flows of one service.
     bool isComplete(std::span<known_upstream *const> candidates, base::time_point now) const;
 
 private:
@@ -64,7 +61,6 @@
         base::time_point seenInList {};   // read time of the last list that has it
         base::time_point removedAt {};    // arrival of the first list without it
         bool listed = true;
-        bool inFirstList = false;
     };
 
     // The address if the last list has it.
--- a/packages/flow/src/first_use_delay.cpp
+++ b/packages/flow/src/first_use_delay.cpp
@@ -43,7 +43,6 @@
         if (added || !address.listed) {
             address.knownAt = now + m_delay;
             address.knownToAllAt = address.knownAt + knownToAllTime;
-            address.inFirstList = false;
         }
         address.listed = true;
         address.seenInList = readAt;
@@ -51,7 +50,6 @@
         // instances, too, whatever its entry says.
         if (readAt != m_firstReadAt)
             continue;
-        address.inFirstList = true;
         const base::duration startTime = longStartTime + m_delay;
         if (isStartedFor(record, startTime, readAt))
             address.knownAt = {};
@@ -86,15 +84,9 @@
                                     base::time_point now) const
 {
     const auto known = [&](const known_upstream *item) { return isKnown(item->machine(), now); };
-    const auto count = static_cast<std::size_t>(std::ranges::count_if(candidates, known));
-    if (!enabled() || count == 0)
+    if (!enabled() || std::ranges::none_of(candidates, known))
         return false;
-    const bool fewAreKnown = 4 * count < 3 * candidates.size();
-    const auto isUnused = [&](const known_upstream *item) {
-        const listed_address *address = find(item->machine());
-        return !known(item) && !(fewAreKnown && address != nullptr && address->inFirstList);
-    };
-    return std::erase_if(candidates, isUnused) > 0;
+    return std::erase_if(candidates, std::not_fn(known)) > 0;
 }
 
 bool first_use_delay::isComplete(std::span<known_upstream *const> candidates,
@@ -103,12 +95,11 @@
     if (!enabled() || m_readAt <= m_stallEndedAt || now - m_readAt > m_delay - margin
         || now < m_incompleteUntil)
         return false;
-    const auto isKnownToAll = [&](const known_upstream *item) {
+    const auto count = std::ranges::count_if(candidates, [&](const known_upstream *item) {
         const listed_address *address = find(item->machine());
         return address != nullptr && now >= address->knownToAllAt;
-    };
-    const auto count = static_cast<std::size_t>(std::ranges::count_if(candidates, isKnownToAll));
-    return count >= leastKnownUpstreams && 8 * count >= 7 * candidates.size();
+    });
+    return count >= static_cast<std::ptrdiff_t>(leastKnownUpstreams);
 }
 
 } // namespace oriolehold::flow
