--- a/packages/flow/include/oriolehold/flow/overload_refusal.h
+++ b/packages/flow/include/oriolehold/flow/overload_refusal.h
@@ -42,12 +42,9 @@
     double spread(std::string_view service) const;
 
 private:
-    // Begins a forecast with a new report and adjusts the spread to it. limitedCount is the number
-    // of candidates with waits.
-    void update(known_upstream &upstream, const packet_tag &tag, std::size_t limitedCount,
-                base::time_point now);
-    bool isInTime(known_upstream &upstream, const packet_tag &tag, std::size_t limitedCount,
-                  base::time_point now);
+    // Begins a forecast with a new report and adjusts the spread to it.
+    void update(known_upstream &upstream, const packet_tag &tag, base::time_point now);
+    bool isInTime(known_upstream &upstream, const packet_tag &tag, base::time_point now);
     void multiply(const std::string &service, double factor);
 
     base::random_source &m_random;
--- a/packages/flow/src/overload_refusal.cpp
+++ b/packages/flow/src/overload_refusal.cpp
@@ -17,13 +17,11 @@
 // For each packet that an agent refuses although it was forecast to be in time. The spread reaches
 // that of 26 instances within the first 13 refusals.
 constexpr double refusedFactor = 1.3;
-// With each report the spread grows if the reported wait exceeds this fraction of the longest one
+// For each report: the spread grows when the reported wait exceeds this fraction of the longest one
 // that an agent admits, and falls below it. A lower fraction leaves upstreams idle for more of the
 // time, a higher one makes agents refuse more.
-constexpr double targetFill = 0.7;
-// For one report of each upstream. Without regard to their number the spread of a service with
-// three fell so slowly that packets were refused 1 s after an overload.
-constexpr double reportGain = 1.5;
+constexpr double targetFill = 0.8;
+constexpr double reportGain = 0.02;
 // At the beginning of an overload all reports state the longest wait, or more for routes with a
 // shorter objective. With 1.5 the spread grew to three times its value, and upstreams were idle.
 constexpr double maxFill = 1.0;
@@ -104,8 +102,7 @@
         m_spreads.erase(service);
 }
 
-void overload_refusal::update(known_upstream &upstream, const packet_tag &tag,
-                              std::size_t limitedCount, base::time_point now)
+void overload_refusal::update(known_upstream &upstream, const packet_tag &tag, base::time_point now)
 {
     const base::time_point reportedAt = forecastStart(upstream, now);
     if (upstream.forecast.drawnFor == reportedAt)
@@ -116,17 +113,16 @@
     const base::duration longest = std::max<base::duration>(
             { admission_control::longestBegin(tag, mean), interval(upstream), 1ms });
     const double fill = ratio(reportedWait(upstream, tag, now), longest);
-    const double gain = reportGain / static_cast<double>(limitedCount);
     multiply(upstream.record.service,
-             std::exp(gain * (std::clamp(fill, 0.0, maxFill) - targetFill)));
+             std::exp(reportGain * (std::clamp(fill, 0.0, maxFill) - targetFill)));
 }
 
 bool overload_refusal::isInTime(known_upstream &upstream, const packet_tag &tag,
-                                std::size_t limitedCount, base::time_point now)
+                                base::time_point now)
 {
     if (!isLimited(upstream, now) && !hasEndedLimit(upstream, now))
         return true;
-    update(upstream, tag, limitedCount, now);
+    update(upstream, tag, now);
     if (upstream.avoidUntil > now)
         return false;
     const std::uint32_t assigned = isLimited(upstream, now) ? upstream.assignedSinceCapacity
@@ -146,11 +142,10 @@
         return isHeard(*item, now) && isLimited(*item, now);
     };
     choice result { { candidates.begin(), candidates.end() } };
-    const auto limitedCount = static_cast<std::size_t>(std::ranges::count_if(candidates, limited));
-    if (limitedCount == 0)
+    if (std::ranges::none_of(candidates, limited))
         return result;
     std::erase_if(result.upstreams, [&](known_upstream *item) {
-        return !isHeard(*item, now) || !isInTime(*item, tag, limitedCount, now);
+        return !isHeard(*item, now) || !isInTime(*item, tag, now);
     });
     if (!result.upstreams.empty())
         return result;
