Show requests of clients at another client

Cause: an entry of another writer without a start time is used, and a search probes the machine that it names.

--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -542,6 +542,9 @@
                 self.fleet.forged(f"client {self.address} got a packet that its sender did not "
                                   "write")
                 continue
+            if packet.destination[0] != self.address:
+                self.fleet.foreign(self, packet)
+                continue
             flow = self.flows.get((packet.destination[1], packet.source))
             if flow:
                 flow.receive(packet)
@@ -606,6 +609,7 @@
         self.stopped = False
         self.clients = []
         self.backends = []
+        self.foreign_packets = []
 
     # Loopback addresses.
     def address(self, group, index):
@@ -628,6 +632,13 @@
         self.record("UNASKED or MIXED: " + text)
         self.broken.append(text)
 
+    def foreign(self, client, packet):
+        text = (f"client {client.address} got a packet from {packet.source[0]}:{packet.source[1]} "
+                f"to {packet.destination[0]}:{packet.destination[1]}, echo {packet.echo:#x}, with "
+                f"the data {packet.data!r}")
+        self.record("MIXED: " + text)
+        self.foreign_packets.append(text)
+
     def packet_reached(self, backend, packet):
         if self.on_packet:
             self.on_packet(backend, packet)
@@ -832,6 +843,9 @@
         fleet = Fleet(os.environ.get("RECORD_FOLDER", folder))
         fleet.record("with the disruption" if trouble else "without the disruption")
         broken = case(fleet, trouble) + fleet.broken
+        if fleet.foreign_packets:
+            broken.append(f"MIXED: {len(fleet.foreign_packets)} packets that are not for the client; "
+                          f"the first: {fleet.foreign_packets[0]}")
         for text in broken:
             fleet.record("BROKEN: " + text)
             print("BROKEN: " + text)
