Show an old configuration on calm instances beside a lossy reader

Cause: an agent that gets a new list but only a part of the new configuration passes on a summary with the new list and the former version, so other instances take their views for recent.

--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -37,6 +37,8 @@
 CONFIG_APPLY_S = 3.0
 HEARTBEAT_S = 1.2
 
+VALUE_BYTES = 1_048_576  # value_bytes of the store
+
 
 class CannotRun(Exception):
     """The case could not be set up; it says nothing of the rule."""
@@ -122,7 +124,7 @@
 
     def put(self, key, value):
         if not isinstance(value, bytes):
-            value = json.dumps(value).encode()
+            value = json.dumps(value, separators=(",", ":")).encode()
         with self.lock:
             self.revision += 1
             created = self.items[key][2] if key in self.items else self.revision
@@ -583,6 +585,44 @@
     return ports
 
 
+class MessageProxy:
+    """Passes the messages between one entry instance and the agents, and drops a share of them.
+
+    The instance has a message port of its own; the proxy holds that port on the machines of the
+    agents, and the agents' port on the machine of the instance, so that each side sees the address
+    of the other one."""
+
+    def __init__(self, entry, entry_port, agent_port):
+        self.entry, self.entry_port, self.agent_port = entry, entry_port, agent_port
+        self.loss = 0.0
+        self.agents = {}
+        self.here = self.socket(entry, agent_port)
+        threading.Thread(target=self.from_agents, daemon=True).start()
+
+    @staticmethod
+    def socket(address, port):
+        result = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        result.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4 << 20)
+        result.bind((address, port))
+        return result
+
+    def add(self, agent):
+        self.agents[agent] = self.socket(agent, self.entry_port)
+        threading.Thread(target=self.from_entry, args=(agent,), daemon=True).start()
+
+    def from_entry(self, agent):
+        while True:
+            data = self.agents[agent].recv(4096)
+            if random.random() >= self.loss:
+                self.here.sendto(data, (agent, self.agent_port))
+
+    def from_agents(self):
+        while True:
+            data, (agent, _) = self.here.recvfrom(4096)
+            if agent in self.agents and random.random() >= self.loss:
+                self.agents[agent].sendto(data, (self.entry, self.entry_port))
+
+
 class Fleet:
     """All machines of a small deployment."""
 
@@ -610,6 +650,8 @@
         self.clients = []
         self.backends = []
         self.foreign_packets = []
+        self.proxied = False  # whether entries that start get a proxy for their messages
+        self.proxies = {}  # by the index of the entry
 
     # Loopback addresses.
     def address(self, group, index):
@@ -711,7 +753,15 @@
         name = f"entry-{index}"
         if name not in self.entries:
             self.store.serve(self.store_address(index))
-            self.write_settings(name, ENTRY, self.entry_fields(index, seeds))
+            fields = self.entry_fields(index, seeds)
+            if self.proxied:
+                fields["internal_ports"] = [self.peer_port + index, self.peer_port + 15]
+                proxy = MessageProxy(self.entry_address(index), self.peer_port + index,
+                                     self.peer_port)
+                for agent in {backend.address for backend in self.backends}:
+                    proxy.add(agent)
+                self.proxies[index] = proxy
+            self.write_settings(name, ENTRY, fields)
         self.entries[name] = self.entry_address(index)
         self.ready[name] = 99
         return self.spawn(name, ENTRY)
@@ -724,6 +774,9 @@
     def backend(self, index, name, service, **options):
         """A backend with its agent, registered in the store."""
         self.start_agent(index, service)
+        for proxy in self.proxies.values():
+            if self.side_address(index) not in proxy.agents:
+                proxy.add(self.side_address(index))
         backend = Backend(self, name, service, self.side_address(index), **options)
         self.backends.append(backend)
         backend.register()
@@ -788,7 +841,11 @@
         return names[zlib.crc32(raw[4:16]) % len(names)]
 
     def route(self, raw):
-        address = self.entries[self.choose(raw)]
+        self.send_to(self.choose(raw), raw)
+
+    def send_to(self, name, raw):
+        """The router's packet for one daemon."""
+        address = self.entries[name]
         with self.lock:
             if self.watched is None:
                 self.watched = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -817,9 +874,11 @@
         for service in services:
             document["services"].append({"name": service, "health_path": "/health",
                                          "max_connections": 2000, "protocol": "h1", "tls": False})
+        if len(json.dumps(document, separators=(",", ":"))) > VALUE_BYTES:
+            raise CannotRun("the configuration is larger than the store takes")
         self.store.put("op/config", document)
-        self.record(f"store acknowledges version {version}: " + ", ".join(
-            f"{h}:{p} to {t}" for h, p, t in routes))
+        self.record(f"store acknowledges version {version}: {len(routes)} routes, the last ones: "
+                    + ", ".join(f"{h}:{p} to {t}" for h, p, t in routes[-3:]))
 
     def stop(self):
         self.stopped = True
