--- a/review/9/case.py
+++ b/review/9/case.py
@@ -9,8 +9,8 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins-2"))
 import fleet as stand_ins
 
-ROUTE = ("198.18.0.1", 8443)
-OTHER = ("198.18.0.2", 8443)
+ROUTE = ("127.10.0.1", 8443)
+OTHER = ("127.10.0.2", 8443)
 FLOWS = 24
 
 
--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -1,7 +1,7 @@
 """Stand-ins for the platform, its backends and its clients, and the processes under test.
 
 Everything runs on loopback addresses: each machine has an address of its own, and the ports are the
-same on all machines. Only the standard library is used.
+same on all machines. The addresses of routes, 127.10 and 127.11, only stand in packets. Only the standard library is used.
 """
 
 import base64
@@ -630,7 +630,8 @@
         self.folder = folder
         self.record = Record(os.path.join(folder, name))
         self.temporary = tempfile.TemporaryDirectory()
-        self.network = random.randrange(16, 250)  # 127.N.x.x, so that cases may run side by side
+        # 127.N.x.x, so that cases may run side by side; the addresses of routes are below.
+        self.network = random.randrange(16, 250)
         (self.packet_port, self.peer_port, self.app_port, self.outbound_port, self.admin_port,
          self.metrics_port, self.store_port, self.control_port) = free_ports(8)
         with open(os.path.join(ROOT, "deploy/system.toml"), "rb") as file:
