Send packets of clients only to machines whose agents were heard

Cause: the address of an entry was taken for the machine of an agent. Searches probe with the packet of the client, at the port where clients get their packets. Change: probes, relayed probes and new flows go only to machines from which a message has come that only agents send. A new address gets its first hello at once. Until 40 hellos are unanswered the upstream may hold flows, so no client is reset before, and the first copy of an opening packet without another place is dropped for the next copy. Messages that entry instances send, too, do not end the isolation of an instance any more. New gauge oriolehold_upstreams_without_agent. Why it works: an agent answers the first hello within milliseconds, and nobody else sends reports, claims or denials. Changed tests: the fixture lets the agents of listed upstreams send a message.

--- a/packages/entry/include/oriolehold/entry/flow_entry_daemon.h
+++ b/packages/entry/include/oriolehold/entry/flow_entry_daemon.h
@@ -110,6 +110,7 @@
     mutable std::mutex m_metricsMutex;
     flow::entry_counters m_publishedCounters;            // guarded by m_metricsMutex
     std::size_t m_publishedEvacuatedZones = 0;           // guarded by m_metricsMutex
+    std::size_t m_publishedUnheardAgents = 0;            // guarded by m_metricsMutex
     flow::source_counters m_publishedSourceCounters;     // guarded by m_metricsMutex
     daemon::message_counters m_publishedMessageCounters; // guarded by m_metricsMutex
     std::thread m_trafficThread;
--- a/packages/entry/src/flow_entry_daemon.cpp
+++ b/packages/entry/src/flow_entry_daemon.cpp
@@ -158,6 +158,7 @@
     const std::scoped_lock lock(m_metricsMutex);
     m_publishedCounters = m_balancer.counters();
     m_publishedEvacuatedZones = m_balancer.directory().evacuatedZones().size();
+    m_publishedUnheardAgents = m_balancer.directory().unheardAgents();
     m_publishedMessageCounters = m_messageCounters;
     return m_ready.load() ? wait : std::min(wait, readyCheckInterval);
 }
@@ -294,6 +295,9 @@
             + std::to_string(m_publishedSourceCounters.rejectedEntries) + "\n";
     text += "# TYPE oriolehold_zones_evacuated gauge\noriolehold_zones_evacuated "
             + std::to_string(m_publishedEvacuatedZones) + "\n";
+    text += "# TYPE oriolehold_upstreams_without_agent gauge\n"
+            "oriolehold_upstreams_without_agent "
+            + std::to_string(m_publishedUnheardAgents) + "\n";
     return text + m_publishedMessageCounters.text() + m_log.histograms();
 }
 
--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -119,6 +119,7 @@
     std::uint64_t configurationVersion() const override { return m_view.configuration().version; }
     const flow_route *routeOf(const base::endpoint &service) const override;
     bool isKnownService(const upstream_record &record) const override;
+    bool awaitsAgents() const override;
     bool listIsComplete(const flow_route &route, base::time_point now) override;
     bool listMayLackUpstreams(base::time_point now) const override;
     void resetClient(const packet_head &head, std::string_view reason,
@@ -128,6 +129,13 @@
     // Whether the upstream's agent needs hellos. Entries of other writers may have a service that
     // the configuration does not have, and name machines without an agent.
     bool needsHello(const known_upstream &upstream, base::time_point now) const;
+    // Whether an agent that has not been heard may still answer a hello.
+    bool mayHaveAgent(const known_upstream &upstream) const;
+    // Sends hellos to the machines before the next round.
+    void greetSoon(std::span<const std::uint32_t> machines, base::time_point now);
+    // Spreads the pending hellos over the steps of a round.
+    void spreadHellos();
+    void hearAgent(std::uint32_t machine, const peer_message &message, base::time_point now);
     // Agents that pass a summary on to all entry instances.
     std::vector<std::uint32_t> relays(base::time_point now) const;
     void receiveFromClient(const packet_head &head, base::byte_view packet, base::time_point now);
--- a/packages/flow/include/oriolehold/flow/flow_search.h
+++ b/packages/flow/include/oriolehold/flow/flow_search.h
@@ -71,9 +71,11 @@
     std::vector<search_candidate> candidates;
     // The candidates include upstreams of services that the route does not have.
     bool allServices = false;
-    // Read time of the list and version of the routes that the candidates were taken from.
+    // Read time of the list, version of the routes and number of agents found when the candidates
+    // were chosen.
     base::time_point listReadAt {};
     std::uint64_t configurationVersion = 0;
+    std::uint64_t agentsFound = 0;
     std::uint32_t probes = 0; // sent
 };
 
--- a/packages/flow/include/oriolehold/flow/owner_search.h
+++ b/packages/flow/include/oriolehold/flow/owner_search.h
@@ -41,6 +41,9 @@
     virtual const flow_route *routeOf(const base::endpoint &service) const = 0;
     // Whether the configuration has the service; true for all services before the first one.
     virtual bool isKnownService(const upstream_record &record) const = 0;
+    // Whether the agent of an upstream that may hold flows has not been heard yet, so that the
+    // upstream is not probed.
+    virtual bool awaitsAgents() const = 0;
     // Whether no instance has placed a flow of the route on an upstream that the list lacks.
     virtual bool listIsComplete(const flow_route &route, base::time_point now) = 0;
     // Whether an agent reports although its upstream is not listed; the upstream may register
@@ -80,6 +83,8 @@
 
     // Makes the next tick update all searches, because the list has changed.
     void listChanged(base::time_point now) { m_nextUpdate = now; }
+    // Makes the next regular update probe the upstream of an agent that was heard first.
+    void agentFound() { m_inProgress = !m_searches.empty(); }
     // Performs the actions that are due.
     void tick(base::time_point now);
     // Time of the next action; the maximum time when there is none.
--- a/packages/flow/include/oriolehold/flow/upstream_directory.h
+++ b/packages/flow/include/oriolehold/flow/upstream_directory.h
@@ -33,7 +33,11 @@
     opening_share share;                     // while its agent limits the opening packets
     wait_forecast forecast;                  // while its agent reports expected waits
     bool inEvacuatedZone = false;
-    base::time_point heardAt {};           // last message of its agent, at first when it was added
+    base::time_point heardAt {}; // last message of its agent, at first when it was added
+    // An agent on the machine has sent a message. Until then the machine gets no packets of
+    // clients: entries of other writers name any address.
+    bool agentHeard = false;
+    std::uint32_t unansweredHellos = 0;    // sent while no agent has been heard
     std::uint32_t assignedSinceReport = 0; // flows
     base::time_point avoidUntil {};        // set after it refused an opening packet
 
@@ -98,6 +102,15 @@
     bool announce(std::uint32_t machine, std::uint32_t serviceDigest);
     // The agent on the machine sent a message; ignored if the machine is unknown.
     void hear(std::uint32_t machine, base::time_point now);
+    // A hello was sent to the machine; ignored if the machine is unknown.
+    void greet(std::uint32_t machine);
+    // Number of first messages of agents so far. It changes when further machines may get packets
+    // of clients.
+    std::uint64_t agentsFound() const { return m_agentsFound; }
+    // Upstreams whose agents have sent no message so far.
+    std::size_t unheardAgents() const { return m_unheardAgents; }
+    // Whether any upstream without a message of its agent passes the filter.
+    bool anyUnheard(const upstream_filter &filter) const;
     // Time of the last message of any agent that the directory has; epoch: none.
     base::time_point heardAt() const { return m_heardAt; }
 
@@ -106,7 +119,7 @@
     static bool isEvacuated(const known_upstream &upstream);
     // Whether the upstream may take new flows of its service.
     static bool mayTakeFlows(const known_upstream &upstream);
-    // Returns the upstreams that may take new flows of the service.
+    // Returns the upstreams that may take new flows of the service and whose agents were heard.
     std::vector<known_upstream *> eligible(std::string_view service);
     // Returns the machines of the upstreams that pass the filter: first those whose agents are
     // heard, of these the listed ones, of these those in zone.
@@ -153,8 +166,10 @@
     boost::unordered_flat_map<std::uint32_t, known_upstream> m_upstreams; // by machine address
     store_revision m_revision;
     base::time_point m_readAt {};
-    base::time_point m_outageEndedAt {};      // or restore; epoch: none so far
-    base::time_point m_heardAt {};            // last message of any agent
+    base::time_point m_outageEndedAt {}; // or restore; epoch: none so far
+    base::time_point m_heardAt {};       // last message of any agent
+    std::uint64_t m_agentsFound = 0;
+    std::size_t m_unheardAgents = 0;
     zone_evacuation m_evacuation;             // as set last
     std::vector<std::string> m_restoredZones; // of a former era
     base::time_point m_restoredZonesUntil {};
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -34,6 +34,9 @@
 constexpr std::uint32_t openingTime = 3;
 constexpr std::uint8_t maxRefusals = 3;           // of one opening packet
 constexpr base::duration refusalAvoidance = 50ms; // about the time in which a queue empties
+// Hellos after which a machine counts as one without an agent, if none was answered. Takes 20 s,
+// because an agent that is cut off answers later, and its upstream may hold flows.
+constexpr std::uint32_t maxUnansweredHellos = 40;
 // Agents that forward the summary of a read. Two may be lost at a time.
 constexpr std::size_t relayCount = 3;
 // Interval of requests to the seeds while an instance has no view, such as after a restart when the
@@ -211,11 +214,16 @@
     const auto known = m_owners.find(keyOfClientPacket(head));
     const bool mayBeAccepted = known != m_owners.end() && known->second.mayBeAccepted;
     const bool evacuated = m_directory.hasEvacuated(service);
+    // The next copy of the packet arrives 200 ms later and can be placed then.
+    const bool awaitsAgent = m_directory.anyUnheard([&](const known_upstream &item) {
+        return item.record.service == service && upstream_directory::mayTakeFlows(item)
+                && mayHaveAgent(item);
+    });
     m_counters.refusedEvacuated += evacuated ? 1 : 0;
     resetOrDrop(head,
                 evacuated ? "all zones with upstreams of the service are evacuated"
                           : "no upstream accepts flows",
-                !m_directory.empty() && !mayBeAccepted, now);
+                !m_directory.empty() && !mayBeAccepted && !awaitsAgent, now);
 }
 
 bool entry_balancer::refuseForOverload(const packet_head &head, const packet_tag &tag,
@@ -311,11 +319,7 @@
 void entry_balancer::receiveMessage(std::uint32_t machine, const peer_message &message,
                                     base::time_point now)
 {
-    const bool sentByAgent = std::holds_alternative<load_report>(message)
-            || std::holds_alternative<flow_claim>(message);
-    m_directory.hear(machine, now);
-    if (sentByAgent && m_directory.find(machine) == nullptr)
-        m_unlistedAgents[machine] = now;
+    hearAgent(machine, message, now);
     if (const auto *report = std::get_if<load_report>(&message))
         m_directory.report(machine, *report, now);
     else if (const auto *capacity = std::get_if<capacity_report>(&message))
@@ -333,6 +337,29 @@
         m_view.receive(machine, message, now);
 }
 
+void entry_balancer::hearAgent(std::uint32_t machine, const peer_message &message,
+                               base::time_point now)
+{
+    const known_upstream *known = m_directory.find(machine);
+    const bool announcesItself = std::holds_alternative<load_report>(message)
+            || std::holds_alternative<flow_claim>(message);
+    if (known == nullptr) {
+        if (announcesItself)
+            m_unlistedAgents[machine] = now;
+        return;
+    }
+    // Entries of other writers name entry instances, too, and these send the other kinds.
+    const bool sentByAgent = announcesItself || std::holds_alternative<capacity_report>(message)
+            || std::holds_alternative<flow_denial>(message)
+            || std::holds_alternative<probe_result>(message)
+            || std::holds_alternative<service_announcement>(message);
+    if (!known->agentHeard && !sentByAgent)
+        return;
+    if (!known->agentHeard)
+        m_search.agentFound();
+    m_directory.hear(machine, now);
+}
+
 void entry_balancer::receiveClaim(const flow_key &key, std::uint32_t machine, base::time_point now)
 {
     const known_upstream *known = m_directory.find(machine);
@@ -446,6 +473,19 @@
     return m_view.configuration().version == 0 || m_services.contains(record.service);
 }
 
+bool entry_balancer::mayHaveAgent(const known_upstream &upstream) const
+{
+    return upstream.agentHeard || upstream.unansweredHellos < maxUnansweredHellos;
+}
+
+bool entry_balancer::awaitsAgents() const
+{
+    return m_directory.anyUnheard([this](const known_upstream &item) {
+        return isKnownService(item.record) && mayHaveAgent(item)
+                && !m_directory.holdsNoFlows(item.machine());
+    });
+}
+
 bool entry_balancer::needsHello(const known_upstream &upstream, base::time_point now) const
 {
     return isKnownService(upstream.record) || upstream_directory::isHeard(upstream, now);
@@ -477,12 +517,22 @@
 {
     const auto isKnown = [this](const upstream_record &record) { return isKnownService(record); };
     std::vector<std::uint32_t> restarted;
+    std::vector<std::uint32_t> added;
+    const bool first = m_directory.readAt() == base::time_point {};
     const bool applied =
             m_directory.update(list, readAt, now, isKnown, [&](const directory_change &change) {
                 m_observer.directoryChanged(change);
                 if (change.what == directory_change::kind::restarted)
                     restarted.push_back(change.address.address);
+                if (change.what == directory_change::kind::added)
+                    added.push_back(change.address.address);
             });
+    for (const std::uint32_t machine : added) {
+        if (m_unlistedAgents.contains(machine))
+            m_directory.hear(machine, now);
+    }
+    if (!first)
+        greetSoon(added, now);
     if (applied)
         m_firstUse.update(list, readAt, now, isKnown);
     // Flows are placed there before the next round of hellos, and the agent still takes the
@@ -573,6 +623,24 @@
     return machines;
 }
 
+void entry_balancer::spreadHellos()
+{
+    m_hellosPerStep = std::max(minHellosPerStep,
+                               (m_pendingHellos.size() + maxHelloSteps - 1) / maxHelloSteps);
+}
+
+void entry_balancer::greetSoon(std::span<const std::uint32_t> machines, base::time_point now)
+{
+    for (const std::uint32_t machine : machines) {
+        if (needsHello(*m_directory.find(machine), now))
+            m_pendingHellos.push_back(machine);
+    }
+    if (m_pendingHellos.empty())
+        return;
+    spreadHellos();
+    m_nextHello = std::min(m_nextHello, now);
+}
+
 void entry_balancer::sendHellos(base::time_point now)
 {
     if (m_pendingHellos.empty()) {
@@ -582,14 +650,14 @@
         });
         m_nextHelloRound = now + helloInterval;
         m_notices.keepOnly(m_pendingHellos);
-        m_hellosPerStep = std::max(minHellosPerStep,
-                                   (m_pendingHellos.size() + maxHelloSteps - 1) / maxHelloSteps);
+        spreadHellos();
     }
     const std::size_t count = std::min(m_hellosPerStep, m_pendingHellos.size());
     for (const std::uint32_t machine : std::span(m_pendingHellos).last(count)) {
         const known_upstream *known = m_directory.find(machine);
         if (known == nullptr)
             continue;
+        m_directory.greet(machine);
         m_output.sendMessage(
                 machine, entry_hello { m_identity.bootId, m_identity.zone, known->record.slots });
         const upstream_notice notice = noticeOf(*known, now);
--- a/packages/flow/src/owner_search.cpp
+++ b/packages/flow/src/owner_search.cpp
@@ -71,12 +71,12 @@
 bool owner_search::includes(const flow_route &route, const flow_search &state,
                             const known_upstream &upstream) const
 {
-    if (mayServe(route, upstream.record.service) || mayServe(route, upstream.serviceDigest()))
-        return true;
-    // A version that this process has not seen may have sent the route's flows to any service. An
-    // entry with an unknown service is one of another writer unless an agent is there.
-    const bool agentHeard = upstream.reportedAt != base::time_point {};
-    return state.allServices && (agentHeard || m_view.isKnownService(upstream.record));
+    // A probe is a packet of the client, and only an agent knows what to do with it.
+    if (!upstream.agentHeard)
+        return false;
+    // A version that this process has not seen may have sent the route's flows to any service.
+    return state.allServices || mayServe(route, upstream.record.service)
+            || mayServe(route, upstream.serviceDigest());
 }
 
 void owner_search::widen(const flow_route &route, flow_search &state, base::time_point now)
@@ -92,10 +92,13 @@
 {
     const std::uint64_t version = m_view.configurationVersion();
     const auto filter = [&](const known_upstream &known) { return includes(route, state, known); };
-    if (state.listReadAt == m_view.directory().readAt() && state.configurationVersion == version)
+    const std::uint64_t agentsFound = m_view.directory().agentsFound();
+    if (state.listReadAt == m_view.directory().readAt() && state.configurationVersion == version
+        && state.agentsFound == agentsFound)
         return;
     state.listReadAt = m_view.directory().readAt();
     state.configurationVersion = version;
+    state.agentsFound = agentsFound;
     boost::unordered_flat_set<std::uint32_t> known;
     for (const search_candidate &item : state.candidates)
         known.insert(item.machine);
@@ -275,7 +278,7 @@
     const bool listIsNewer = m_view.directory().readAt() > state.startedAt;
     const bool listSuffices = listIsNewer || listSufficesFor(*route);
     m_needsRead = m_needsRead || !listSuffices;
-    if (!listSuffices || m_view.listMayLackUpstreams(now))
+    if (!listSuffices || m_view.listMayLackUpstreams(now) || m_view.awaitsAgents())
         return false;
     m_counters.waitsAvoided += listIsNewer ? 0 : 1;
     m_reset.resetClient(state.currentPacket().head,
--- a/packages/flow/src/upstream_directory.cpp
+++ b/packages/flow/src/upstream_directory.cpp
@@ -90,8 +90,10 @@
             onChange({ change::phaseChanged, record.id, record.address });
         if (restarted) {
             const auto announced = known.announcedService;
+            const bool agentHeard = known.agentHeard;
             known = {};
             known.announcedService = announced;
+            known.agentHeard = agentHeard;
         }
         if (added || restarted)
             known.heardAt = now;
@@ -118,6 +120,8 @@
     boost::unordered::erase_if(m_upstreams, [&](const auto &item) {
         return !item.second.listed && now - item.second.removedAt > removedRetention;
     });
+    m_unheardAgents = static_cast<std::size_t>(std::ranges::count_if(
+            m_upstreams, [](const auto &item) { return !item.second.agentHeard; }));
     return true;
 }
 
@@ -199,6 +203,25 @@
         return;
     known->heardAt = now;
     m_heardAt = now;
+    if (known->agentHeard)
+        return;
+    known->agentHeard = true;
+    ++m_agentsFound;
+    --m_unheardAgents;
+}
+
+void upstream_directory::greet(std::uint32_t machine)
+{
+    known_upstream *known = find(machine);
+    if (known != nullptr && !known->agentHeard)
+        ++known->unansweredHellos;
+}
+
+bool upstream_directory::anyUnheard(const upstream_filter &filter) const
+{
+    return m_unheardAgents > 0 && std::ranges::any_of(m_upstreams, [&](const auto &item) {
+               return !item.second.agentHeard && filter(item.second);
+           });
 }
 
 known_upstream *upstream_directory::find(std::uint32_t machine)
@@ -228,7 +251,7 @@
 {
     std::vector<known_upstream *> result;
     for (auto &[machine, known] : m_upstreams) {
-        if (mayTakeFlows(known) && known.record.service == service)
+        if (mayTakeFlows(known) && known.agentHeard && known.record.service == service)
             result.push_back(&known);
     }
     return result;
--- a/packages/flow/tests/deployment_simulation.h
+++ b/packages/flow/tests/deployment_simulation.h
@@ -147,6 +147,8 @@
     void stopAgent(upstream &item);
     void readStore(std::size_t index);
     // Whether a packet between the machines is lost.
+    // The upstream whose agent has the address. Packets of clients may go nowhere else.
+    upstream *agentAt(std::uint32_t machine, socket target);
     bool isLost(std::size_t entryIndex, const upstream &item, bool towardsUpstream);
     void tickAll();
 
@@ -270,6 +272,7 @@
     base::seeded_random m_habitRandom;
     const habits m_habits;
     base::seeded_random m_controlRandom;
+    base::seeded_random m_addressRandom; // of entries of other writers
     const deployment_controls m_controls;
     std::set<std::string> m_evacuationKeys; // the operator's newest
     struct zone_state
--- a/packages/flow/tests/deployment_troubles.cpp
+++ b/packages/flow/tests/deployment_troubles.cpp
@@ -448,6 +448,8 @@
     if (m_writerRandom.below(2) == 0) // no machine has this address
         record.address.address = firstUnusedMachine
                 + static_cast<std::uint32_t>(m_writerRandom.below(unusedMachines));
+    if (record.address.address >= firstUnusedMachine && m_addressRandom.below(3) == 0)
+        record.address.address = m_entries[m_addressRandom.below(m_entries.size())]->machine;
     if (m_writerRandom.below(2) == 0)
         record.service = services[m_writerRandom.below(services.size())];
     if (m_writerRandom.below(2) == 0)
--- a/packages/flow/tests/first_use_delay_test.cpp
+++ b/packages/flow/tests/first_use_delay_test.cpp
@@ -25,6 +25,7 @@
     {
         upstreams.revision = { era, ++revision };
         delayed.finishRead(routes, upstreams, atMilliseconds(readAt), atMilliseconds(at));
+        hearAgents(delayed, at);
     }
     // Ticks often enough that the process does not seem to have stalled.
     void tickUntil(std::int64_t from, std::int64_t to)
