Discard packets for agents at entry instances

Callers saw: after entries of another writer with the addresses of entry instances, packets circulated among these without end. Cause: entry_balancer::receivePacket took each tagged packet that is not a returned one for a packet of a client. The probe of another instance, or its own, began a search or the next round of one, which sent the next probes. Each copy renewed the time of the client's last packet, so the search never ended. Change: packets with an instruction for an agent are discarded and counted (oriolehold_packets_misaddressed_total). Why it works: clients send packets without a tag, and agents return packets with other instructions, so nothing that an instance must handle is lost. Whatever an entry names, a packet ends at the first instance that gets it.

--- a/packages/entry/src/flow_entry_daemon.cpp
+++ b/packages/entry/src/flow_entry_daemon.cpp
@@ -266,6 +266,7 @@
     };
     counter("packets_total", m_publishedCounters.packets);
     counter("packets_malformed_total", m_publishedCounters.malformed);
+    counter("packets_misaddressed_total", m_publishedCounters.misaddressed);
     counter("flow_known_total", m_publishedCounters.knownFlow);
     counter("flow_placed_total", m_publishedCounters.placed);
     counter("flow_replaced_total", m_publishedCounters.replaced);
--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -37,14 +37,15 @@
 // Totals since the start of the process.
 struct entry_counters : search_counters
 {
-    std::uint64_t packets = 0;   // received
-    std::uint64_t malformed = 0; // packets that could not be decoded
-    std::uint64_t knownFlow = 0; // packets of clients forwarded to the known owner
-    std::uint64_t placed = 0;    // opening packets given to their first upstream
-    std::uint64_t replaced = 0;  // opening packets given to another upstream after a refusal
-    std::uint64_t changed = 0;   // claims for a flow that another agent had claimed before
-    std::uint64_t resets = 0;    // sent to clients
-    std::uint64_t dropped = 0;   // packets discarded
+    std::uint64_t packets = 0;      // received
+    std::uint64_t malformed = 0;    // packets that could not be decoded
+    std::uint64_t misaddressed = 0; // packets for an agent, discarded
+    std::uint64_t knownFlow = 0;    // packets of clients forwarded to the known owner
+    std::uint64_t placed = 0;       // opening packets given to their first upstream
+    std::uint64_t replaced = 0;     // opening packets given to another upstream after a refusal
+    std::uint64_t changed = 0;      // claims for a flow that another agent had claimed before
+    std::uint64_t resets = 0;       // sent to clients
+    std::uint64_t dropped = 0;      // packets discarded
     std::uint64_t storeRestores = 0;
     std::uint64_t refusedEvacuated = 0; // opening packets: the service's zones are evacuated
     // Opening packets that no upstream could serve in time, by the reports of the agents.
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -76,11 +76,22 @@
         ++m_counters.malformed;
         return;
     }
-    if (head->tag.kind == instruction::absent || head->tag.kind == instruction::refused
-        || head->tag.kind == instruction::unanswered || head->tag.kind == instruction::misdirected)
-        receiveReturned(*head, packet, sender, now);
-    else
+    switch (head->tag.kind) {
+    case instruction::none:
         receiveFromClient(*head, packet, now);
+        break;
+    case instruction::deliver:
+    case instruction::probe:
+        // Another instance, or this one, took this machine for that of an agent.
+        ++m_counters.misaddressed;
+        break;
+    case instruction::absent:
+    case instruction::refused:
+    case instruction::misdirected:
+    case instruction::unanswered:
+        receiveReturned(*head, packet, sender, now);
+        break;
+    }
 }
 
 void entry_balancer::receiveFromClient(const packet_head &head, base::byte_view packet,
--- a/packages/flow/tests/foreign_entry_test.cpp
+++ b/packages/flow/tests/foreign_entry_test.cpp
@@ -170,3 +170,36 @@
 
     CHECK_TRUE(placeFlows(60, 510).contains(1));
 }
+
+// Guards against packets that circulate among entry instances without end: each would search for
+// the owner of a probe's flow, and probe the others.
+TEST(foreign_entry, PacketsForAgentsAreNotThoseOfAClient)
+{
+    publish(0);
+    for (const instruction kind : { instruction::probe, instruction::deliver }) {
+        packet_head head = packet();
+        head.tag = { kind, serviceDigest("orders"), 2 };
+        receive(head, 10);
+        head.opens = true;
+        head.acknowledges = false;
+        receive(head, 20);
+    }
+    tickBetween(20, 300);
+
+    CHECK_EQUAL(0, balancer.openSearches());
+    CHECK_EQUAL(0, output.toAgents.size());
+    CHECK_EQUAL(0, output.toClients.size());
+    CHECK_EQUAL(4, balancer.counters().misaddressed);
+}
+
+// Guards against the same where the flow has an owner: packets would reach its upstream doubled.
+TEST(foreign_entry, PacketsForAgentsOfAKnownFlowAreNotForwarded)
+{
+    publish(0);
+    claim(2, 5);
+    packet_head head = packet();
+    head.tag = { instruction::deliver, serviceDigest("orders"), 2 };
+    receive(head, 10);
+
+    CHECK_EQUAL(0, output.toAgents.size());
+}
