Greet agents of services that left the configuration

Cause: an instance sent hellos only to agents of declared services, and of others only while it heard them. Agents claim flows and report only to instances that sent them a hello. So a new instance never heard the agents of the former service and left their upstreams out of its searches; all others denied the flow. Change: agents of undeclared services get hellos like all others, and after ten unanswered ones (5 s) one every 5 s. Until then, and when the agent was heard, the upstream counts as a possible owner. An agent that was heard once is greeted for as long as its upstream is in the directory, so one that forgot a frozen instance reports again. Why it works: the answer to a hello tells an upstream from an entry of another writer, and an instance takes packets only after its first hellos.

--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -127,10 +127,10 @@
                      base::time_point now) override;
     // Applies the list to the directory.
     void applyList(const upstream_list &list, base::time_point readAt, base::time_point now);
-    // Whether the upstream's agent needs hellos. Entries of other writers may have a service that
-    // the configuration does not have, and name machines without an agent.
+    // Whether a hello to the upstream's agent is due in this round. Entries of other writers may
+    // have a service that the configuration does not have, and name machines without an agent.
     bool needsHello(const known_upstream &upstream, base::time_point now) const;
-    // Whether an agent that has not been heard may still answer a hello.
+    // Whether the upstream's agent was heard, or may still answer a hello.
     bool mayHaveAgent(const known_upstream &upstream) const;
     // Sends hellos to the machines before the next round.
     void greetSoon(std::span<const std::uint32_t> machines, base::time_point now);
--- a/packages/flow/include/oriolehold/flow/upstream_directory.h
+++ b/packages/flow/include/oriolehold/flow/upstream_directory.h
@@ -38,6 +38,7 @@
     // clients: entries of other writers name any address.
     bool agentHeard = false;
     std::uint32_t unansweredHellos = 0;    // sent while no agent has been heard
+    base::time_point greetedAt {};         // last hello; epoch: none
     std::uint32_t assignedSinceReport = 0; // flows
     base::time_point avoidUntil {};        // set after it refused an opening packet
 
@@ -103,7 +104,7 @@
     // The agent on the machine sent a message; ignored if the machine is unknown.
     void hear(std::uint32_t machine, base::time_point now);
     // A hello was sent to the machine; ignored if the machine is unknown.
-    void greet(std::uint32_t machine);
+    void greet(std::uint32_t machine, base::time_point now);
     // Number of first messages of agents so far. It changes when further machines may get packets
     // of clients.
     std::uint64_t agentsFound() const { return m_agentsFound; }
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -37,6 +37,12 @@
 // Hellos after which a machine counts as one without an agent, if none was answered. Takes 20 s,
 // because an agent that is cut off answers later, and its upstream may hold flows.
 constexpr std::uint32_t maxUnansweredHellos = 40;
+// The same for services that the configuration does not have: an entry with one is that of another
+// writer, or of an upstream whose service left the configuration. Takes 5 s, longer than a restart
+// of the agent.
+constexpr std::uint32_t maxUnansweredHellosOfFormerServices = 10;
+// Interval of the hellos after that. The service may be declared again, or the agent may be back.
+constexpr base::duration rareHelloInterval = 5s;
 // Agents that forward the summary of a read. Two may be lost at a time.
 constexpr std::size_t relayCount = 3;
 // Interval of requests to the seeds while an instance has no view, such as after a restart when the
@@ -486,20 +492,23 @@
 
 bool entry_balancer::mayHaveAgent(const known_upstream &upstream) const
 {
-    return upstream.agentHeard || upstream.unansweredHellos < maxUnansweredHellos;
+    const std::uint32_t limit = isKnownService(upstream.record)
+            ? maxUnansweredHellos
+            : maxUnansweredHellosOfFormerServices;
+    return upstream.agentHeard || upstream.unansweredHellos < limit;
 }
 
 bool entry_balancer::awaitsAgents() const
 {
     return m_directory.anyUnheard([this](const known_upstream &item) {
-        return isKnownService(item.record) && mayHaveAgent(item)
-                && !m_directory.holdsNoFlows(item.machine());
+        return mayHaveAgent(item) && !m_directory.holdsNoFlows(item.machine());
     });
 }
 
 bool entry_balancer::needsHello(const known_upstream &upstream, base::time_point now) const
 {
-    return isKnownService(upstream.record) || upstream_directory::isHeard(upstream, now);
+    return isKnownService(upstream.record) || mayHaveAgent(upstream)
+            || now - upstream.greetedAt >= rareHelloInterval;
 }
 
 void entry_balancer::upstreamsUpdated(const upstream_list &list, base::time_point readAt,
@@ -668,7 +677,7 @@
         const known_upstream *known = m_directory.find(machine);
         if (known == nullptr)
             continue;
-        m_directory.greet(machine);
+        m_directory.greet(machine, now);
         m_output.sendMessage(
                 machine, entry_hello { m_identity.bootId, m_identity.zone, known->record.slots });
         const upstream_notice notice = noticeOf(*known, now);
--- a/packages/flow/src/upstream_directory.cpp
+++ b/packages/flow/src/upstream_directory.cpp
@@ -210,11 +210,13 @@
     --m_unheardAgents;
 }
 
-void upstream_directory::greet(std::uint32_t machine)
+void upstream_directory::greet(std::uint32_t machine, base::time_point now)
 {
     known_upstream *known = find(machine);
-    if (known != nullptr && !known->agentHeard)
-        ++known->unansweredHellos;
+    if (known == nullptr)
+        return;
+    known->greetedAt = now;
+    known->unansweredHellos += known->agentHeard ? 0 : 1;
 }
 
 bool upstream_directory::anyUnheard(const upstream_filter &filter) const
--- a/packages/flow/tests/deployment_troubles.cpp
+++ b/packages/flow/tests/deployment_troubles.cpp
@@ -227,6 +227,13 @@
         route.services = { { "orders", 90 }, { "catalog", 10 } };
         break;
     }
+    if (m_habits == habits::dropsServices) {
+        const bool hasOrders = mayServe(route, "orders");
+        m_configuration.services = { "catalog" };
+        if (hasOrders || m_declarationRandom.below(4) == 0)
+            m_configuration.services.emplace_back("orders");
+        m_counts.droppedServices += 2 - static_cast<int>(m_configuration.services.size());
+    }
     ++m_counts.serviceChanges;
     ++m_configuration.version;
     writeConfiguration();
--- a/packages/flow/tests/entry_balancer_fixture.h
+++ b/packages/flow/tests/entry_balancer_fixture.h
@@ -200,6 +200,13 @@
         routes.services = { "orders", "catalog" };
         publish(at);
     }
+    // The same with a configuration that "orders" has left.
+    void publishWithoutFormerService(std::int64_t at)
+    {
+        routes.routes.front().services = { { "catalog", 1 } };
+        routes.services = { "catalog" };
+        publish(at);
+    }
     // Publishes the large service with an agent that reports beside each upstream.
     void publishHeardService(std::int64_t at)
     {
--- a/packages/flow/tests/flow_random_test.cpp
+++ b/packages/flow/tests/flow_random_test.cpp
@@ -189,6 +189,22 @@
     });
 }
 
+// Guards against resets of open flows by instances that were started after a version that took the
+// service of the flows out of the configuration.
+TEST(flow_random, PromisesHoldWhenServicesLeaveTheConfiguration)
+{
+    using simulation_type = deployment_simulation;
+    int dropped = 0;
+    const auto make = [](std::uint64_t seed) {
+        return simulation_type(seed, simulation_type::store_history::continuous,
+                               simulation_type::store_writers::upstreamsOnly,
+                               simulation_type::habits::dropsServices);
+    };
+    runSeeds(20, " (dropped services)", make,
+             [&](const auto &counts) { dropped += counts.droppedServices; });
+    CHECK_TRUE(dropped > 0);
+}
+
 // The checks above are only meaningful if the runs draw both.
 TEST(flow_random, RunsWithVariedHabitsUsePortsAgainAndChangeServices)
 {
