Keep the wait for an agent when an entry states a later start

Cause: upstream_directory::update forgot the number of unanswered hellos when an entry stated another start, so an entry of another writer that is written again with later starts kept the clients of lost flows waiting for ever. Change: what is known of a machine's agent is kept across starts of its upstream. Evidence: LaterStartDoesNotRenewTheWaitForAnAgent (foreign_entry) is new; flow_test passes.

--- a/packages/flow/include/oriolehold/flow/entry_balancer.h
+++ b/packages/flow/include/oriolehold/flow/entry_balancer.h
@@ -18,6 +18,8 @@
 #include <boost/unordered/unordered_flat_map.hpp>
 #include <boost/unordered/unordered_flat_set.hpp>
 
+#include <span>
+
 // Decides for an entry instance which upstream takes a new flow, which upstream holds an open flow,
 // and when a client's flow is reset because no upstream holds it.
 
@@ -136,6 +138,7 @@
     void greetSoon(std::span<const std::uint32_t> machines, base::time_point now);
     // Spreads the pending hellos over the steps of a round.
     void spreadHellos();
+    // Notes that the machine has an agent if the message is one that only agents send.
     void hearAgent(std::uint32_t machine, const peer_message &message, base::time_point now);
     // Agents that pass a summary on to all entry instances.
     std::vector<std::uint32_t> relays(base::time_point now) const;
--- a/packages/flow/include/oriolehold/flow/owner_search.h
+++ b/packages/flow/include/oriolehold/flow/owner_search.h
@@ -83,7 +83,7 @@
 
     // Makes the next tick update all searches, because the list has changed.
     void listChanged(base::time_point now) { m_nextUpdate = now; }
-    // Makes the next regular update probe the upstream of an agent that was heard first.
+    // The first message of an agent arrived: the next update probes its upstream, too.
     void agentFound() { m_inProgress = !m_searches.empty(); }
     // Performs the actions that are due.
     void tick(base::time_point now);
--- a/packages/flow/src/entry_balancer.cpp
+++ b/packages/flow/src/entry_balancer.cpp
@@ -34,12 +34,12 @@
 constexpr std::uint32_t openingTime = 3;
 constexpr std::uint8_t maxRefusals = 3;           // of one opening packet
 constexpr base::duration refusalAvoidance = 50ms; // about the time in which a queue empties
-// Hellos after which a machine counts as one without an agent, if none was answered. Takes 20 s,
-// because an agent that is cut off answers later, and its upstream may hold flows.
+// Unanswered hellos after which a machine counts as one without an agent. They take 20 s: an agent
+// that is cut off answers later, and its upstream may hold flows.
 constexpr std::uint32_t maxUnansweredHellos = 40;
-// The same for services that the configuration does not have: an entry with one is that of another
-// writer, or of an upstream whose service left the configuration. Takes 5 s, longer than a restart
-// of the agent.
+// The same for an entry with a service that the configuration does not have: it is that of another
+// writer, or its service has left the configuration. They take 5 s, longer than a restart of an
+// agent.
 constexpr std::uint32_t maxUnansweredHellosOfFormerServices = 10;
 // Interval of the hellos after that. The service may be declared again, or the agent may be back.
 constexpr base::duration rareHelloInterval = 5s;
@@ -365,7 +365,7 @@
             m_unlistedAgents[machine] = now;
         return;
     }
-    // Entries of other writers name entry instances, too, and these send the other kinds.
+    // Entry instances send the other kinds, and an entry of another writer may name one.
     const bool sentByAgent = announcesItself || std::holds_alternative<capacity_report>(message)
             || std::holds_alternative<flow_denial>(message)
             || std::holds_alternative<probe_result>(message)
--- a/packages/flow/src/upstream_directory.cpp
+++ b/packages/flow/src/upstream_directory.cpp
@@ -89,11 +89,13 @@
         else if (known.record.phase != record.phase && !drains)
             onChange({ change::phaseChanged, record.id, record.address });
         if (restarted) {
-            const auto announced = known.announcedService;
-            const bool agentHeard = known.agentHeard;
-            known = {};
-            known.announcedService = announced;
-            known.agentHeard = agentHeard;
+            // What is known of the machine's agent does not depend on its upstream's start.
+            known_upstream next;
+            next.announcedService = known.announcedService;
+            next.agentHeard = known.agentHeard;
+            next.unansweredHellos = known.unansweredHellos;
+            next.greetedAt = known.greetedAt;
+            known = next;
         }
         if (added || restarted)
             known.heardAt = now;
--- a/packages/flow/tests/foreign_entry_test.cpp
+++ b/packages/flow/tests/foreign_entry_test.cpp
@@ -97,6 +97,23 @@
     CHECK_FALSE(gotPackets(machineOfClient));
 }
 
+// The same for an entry that is written again and again with a later start.
+TEST(foreign_entry, LaterStartDoesNotRenewTheWaitForAnAgent)
+{
+    addForeignEntry();
+    publish(0);
+    for (std::int64_t at = 0; at <= 20'000; at += 500) {
+        ++upstreams.upstreams.back().incarnation;
+        publishAndTick(at);
+        report({ 1, 2, 3, 4 }, at + 2);
+    }
+    receive(packet(), 20'010);
+    denyAll(20'012);
+    publishAndTick(20'020);
+
+    CHECK_EQUAL(1, output.toClients.size());
+}
+
 // Guards against a refusal of flows that can be placed some milliseconds later, when the agents
 // have answered their first hellos.
 TEST(foreign_entry, OpeningPacketIsNotRefusedBeforeTheAgentsAnswer)
