Let no warm-up end before that of the upstream

Cause: a list from another process counts as older than it is, by up to the longest transfer, and with it the remaining warm-up times. The trace shows a notice with 6 ms left while the upstream was cold for at least 34 ms more. Change: a warm-up that has not ended in the list counts as 100 ms longer.

--- a/packages/flow/include/oriolehold/flow/upstream_directory.h
+++ b/packages/flow/include/oriolehold/flow/upstream_directory.h
@@ -71,6 +71,9 @@
     static constexpr std::chrono::milliseconds unlistedTimeout { 500 };
     // Five missed reports, while messages of other agents arrive.
     static constexpr std::chrono::milliseconds agentTimeout { 1000 };
+    // A list from another process counts as older than it is, by up to the longest transfer. A
+    // warm-up counts as longer by this time, so that it does not end early.
+    static constexpr std::chrono::milliseconds warmUpMargin { 100 };
     // A longer gap between the reads of two lists counts as an outage of the store.
     static constexpr std::chrono::milliseconds outageGap { 2500 };
 
--- a/packages/flow/src/upstream_directory.cpp
+++ b/packages/flow/src/upstream_directory.cpp
@@ -106,6 +106,8 @@
         known.listed = true;
         known.seenInList = readAt;
         known.warmUpEndsAt = readAt + record.warmUpLeft;
+        if (record.warmUpLeft > std::chrono::milliseconds::zero())
+            known.warmUpEndsAt += warmUpMargin;
         known.inEvacuatedZone = std::ranges::binary_search(m_evacuatedZones, record.zone);
     }
     for (auto &[machine, known] : m_upstreams) {
--- a/packages/flow/tests/entry_balancer_test.cpp
+++ b/packages/flow/tests/entry_balancer_test.cpp
@@ -749,6 +749,17 @@
     CHECK_EQUAL(changes + 1, observer.changes);
 }
 
+// Guards against too many flows for an upstream at the end of its warm-up: a list from another
+// process was read up to 100 ms later than it seems, and so was the remaining time in it.
+TEST(entry_balancer, WarmUpInAListDoesNotEndEarly)
+{
+    upstreams.upstreams[1].warmUpLeft = 500ms;
+    publish(0);
+
+    CHECK_TRUE(balancer.directory().find(2)->warmUpEndsAt >= atMilliseconds(600));
+    CHECK_TRUE(balancer.directory().find(1)->warmUpEndsAt <= atMilliseconds(0));
+}
+
 // The request of the configuration, or its pages, may get lost on a link while summaries arrive and
 // keep the view young.
 TEST(entry_balancer, InstanceWhoseConfigurationDoesNotArriveReadsTheStore)
