Name the newest known version of the configuration in summaries

Cause: an agent that had the new list but not all pages of the new configuration passed on a summary with the new list and its former version. It made the views of others recent, so they did not read, and hid that there is a newer version. Change: a summary names the newest version that is known to exist. A list is passed on with its configuration, or without it after 300 ms. A process that misses a version sends its former one at most every 300 ms. A version that was announced in a former era of the store is forgotten. Why it works: whoever hears of a version that does not arrive reads the store itself, whatever the links of the reader do. Three of the five new tests of view_exchange fail on the former code.

--- a/packages/flow/include/oriolehold/flow/view_exchange.h
+++ b/packages/flow/include/oriolehold/flow/view_exchange.h
@@ -55,10 +55,11 @@
     void applyUpstreams(const upstream_list &list, base::time_point readAt, base::time_point now);
 
     // Handles summaries, requests and pages and ignores other messages. Returns whether the view
-    // became newer.
+    // became newer, so that its summary is worth passing on.
     bool receive(std::uint32_t machine, const peer_message &message, base::time_point now);
 
-    // Describes the content of this process, for other processes.
+    // Describes the content of this process, for other processes. Names the newest version of the
+    // configuration that is known to exist, also while it has not arrived here.
     view_summary summary(base::time_point now) const;
     // Whether there are a configuration and a list of upstreams.
     bool complete() const { return m_configuration.version != 0 && m_digest != 0; }
@@ -87,6 +88,13 @@
         base::time_point readAt {};
     };
 
+    // Whether others have a newer configuration.
+    bool hasMissingVersion() const { return m_announcedVersion > m_configuration.version; }
+    // Forgets the announced version of a former era of the store: a restored store may have lost
+    // it, and a process that has it announces it again.
+    void enterEra(std::uint64_t era);
+    // Whether a request of the configuration is answered with the one that is here.
+    bool mayAnswerWithConfiguration(base::time_point now);
     bool receiveSummary(std::uint32_t machine, const view_summary &summary, base::time_point now);
     bool receivePage(const view_page &page, base::time_point now);
     // Dates the list by the read, unless the process has got a newer one meanwhile.
@@ -106,7 +114,9 @@
     view_listener &m_listener;
     flow_configuration m_configuration;
     std::uint64_t m_announcedVersion = 0; // highest that a summary had
-    base::time_point m_lackingSince {};   // first summary of a version that is missing
+    std::uint64_t m_announcedEra = 0;     // of the store, when it was announced
+    base::time_point m_formerVersionSentAt {};
+    base::time_point m_lackingSince {}; // first summary of a version that is missing
     upstream_list m_upstreams;
     std::uint64_t m_digest = 0; // of m_upstreams; 0: none yet
     base::time_point m_readAt {};
--- a/packages/flow/src/view_exchange.cpp
+++ b/packages/flow/src/view_exchange.cpp
@@ -58,6 +58,7 @@
 {
     if (list.revision < m_upstreams.revision || readAt <= m_readAt)
         return false;
+    enterEra(list.revision.era);
     const bool keepsEvacuation = list.evacuation.revision < m_upstreams.evacuation.revision;
     zone_evacuation evacuation = keepsEvacuation ? m_upstreams.evacuation : list.evacuation;
     m_upstreams = list;
@@ -70,13 +71,23 @@
 
 view_summary view_exchange::summary(base::time_point now) const
 {
-    return { m_configuration.version, m_upstreams.revision, m_digest, now - m_readAt };
+    // With the version that it has, a process on a lossy link would confirm the views of others,
+    // and they would not read the newer one either.
+    return { std::max(m_configuration.version, m_announcedVersion), m_upstreams.revision, m_digest,
+             now - m_readAt };
+}
+
+void view_exchange::enterEra(std::uint64_t era)
+{
+    if (era <= m_announcedEra)
+        return;
+    m_announcedEra = era;
+    m_announcedVersion = 0;
 }
 
 bool view_exchange::lacksConfiguration(base::time_point now) const
 {
-    return m_announcedVersion > m_configuration.version
-            && now - m_lackingSince > configurationTimeout;
+    return hasMissingVersion() && now - m_lackingSince > configurationTimeout;
 }
 
 bool view_exchange::receive(std::uint32_t machine, const peer_message &message,
@@ -87,7 +98,7 @@
     if (const auto *page = std::get_if<view_page>(&message))
         return receivePage(*page, now);
     if (const auto *request = std::get_if<view_request>(&message)) {
-        if (request->configuration && m_configuration.version != 0)
+        if (request->configuration && mayAnswerWithConfiguration(now))
             sendDocument(machine, document_kind::configuration, m_configuration.version,
                          m_codec.encode(m_configuration), now);
         if (request->upstreams && m_digest != 0) {
@@ -98,11 +109,23 @@
     return false;
 }
 
+bool view_exchange::mayAnswerWithConfiguration(base::time_point now)
+{
+    if (m_configuration.version == 0)
+        return false;
+    // A former version helps only processes that have none.
+    if (hasMissingVersion() && now - m_formerVersionSentAt < configurationTimeout)
+        return false;
+    m_formerVersionSentAt = now;
+    return true;
+}
+
 bool view_exchange::receiveSummary(std::uint32_t machine, const view_summary &summary,
                                    base::time_point now)
 {
     if (!isPlausible(summary.age))
         return false;
+    enterEra(summary.upstreamRevision.era);
     const bool newerList = summary.upstreamRevision >= m_upstreams.revision
             && summary.upstreamDigest != 0 && now - summary.age - transferTime > m_readAt;
     const view_request request { summary.configurationVersion > m_configuration.version,
@@ -161,7 +184,10 @@
     }
     const auto bytes = assemble(m_upstreamPages, page);
     const auto list = bytes ? m_codec.decodeUpstreams(*bytes) : std::nullopt;
-    return list && setUpstreams(*list, digestOf(*list), now - page.age - transferTime, now);
+    const bool isNewer =
+            list && setUpstreams(*list, digestOf(*list), now - page.age - transferTime, now);
+    // A configuration that is on its way will be passed on with the list.
+    return isNewer && (!hasMissingVersion() || lacksConfiguration(now));
 }
 
 std::optional<base::byte_vector> view_exchange::assemble(assembly &state, const view_page &page)
--- a/packages/flow/tests/view_exchange_test.cpp
+++ b/packages/flow/tests/view_exchange_test.cpp
@@ -260,3 +260,79 @@
                 atMilliseconds(5)));
     }
 }
+
+// Guards against instances that keep a former configuration although they are not disrupted: an
+// agent on a lossy link got the list but not the configuration, and confirmed the views of all.
+TEST(view_exchange, ListWithoutItsConfigurationAnnouncesTheMissingVersion)
+{
+    reader.applyConfiguration(configurationOf(8));
+    reader.applyUpstreams(listOf(1, "a"), atMilliseconds(0), atMilliseconds(0));
+    sendSummary(10);
+    reader.applyConfiguration(configurationOf(9));
+    reader.applyUpstreams(listOf(2, "b"), atMilliseconds(500), atMilliseconds(500));
+    receiver.receive(1, reader.summary(atMilliseconds(510)), atMilliseconds(510));
+    reader.receive(2, otherOutput.messages.back().second, atMilliseconds(511));
+    const auto pages = std::exchange(output.messages, {});
+    const auto receivePages = [&](document_kind kind, std::int64_t at) {
+        return std::ranges::any_of(pages, [&](const auto &item) {
+            const auto &page = std::get<view_page>(item.second);
+            return page.kind == kind && receiver.receive(1, page, atMilliseconds(at));
+        });
+    };
+
+    // The configuration may still be on its way.
+    CHECK_FALSE(receivePages(document_kind::upstreams, 520));
+    CHECK_EQUAL(2, receiver.upstreams().revision.number);
+    CHECK_EQUAL(8, receiver.configuration().version);
+    CHECK_EQUAL(9, receiver.summary(atMilliseconds(520)).configurationVersion);
+    CHECK_TRUE(receivePages(document_kind::configuration, 530));
+    CHECK_EQUAL(9, receiver.configuration().version);
+}
+
+// A list must not wait for a configuration that does not arrive.
+TEST(view_exchange, ListIsPassedOnWhenItsConfigurationIsLost)
+{
+    receiver.receive(1, view_summary { 9, { 1, 5 }, 77, {} }, atMilliseconds(100));
+    reader.applyUpstreams(listOf(6, "b"), atMilliseconds(500), atMilliseconds(500));
+    reader.receive(2, view_request { false, true }, atMilliseconds(501));
+    const auto pages = std::exchange(output.messages, {});
+
+    CHECK_TRUE(receiver.receive(1, pages.front().second, atMilliseconds(510)));
+    CHECK_EQUAL(9, receiver.summary(atMilliseconds(510)).configurationVersion);
+}
+
+// The version that is announced is not here. Sending the former one, of up to 1 MB, to each process
+// that asks would fill the link; a process that has none still gets it.
+TEST(view_exchange, FormerConfigurationIsSentSeldom)
+{
+    receiver.applyConfiguration(configurationOf(8));
+    receiver.receive(1, view_summary { 9, { 1, 5 }, 77, {} }, atMilliseconds(100));
+    otherOutput.messages.clear();
+    for (std::int64_t at = 500; at < 1500; at += 50)
+        receiver.receive(2, view_request { true, false }, atMilliseconds(at));
+
+    CHECK_EQUAL(4, otherOutput.sent<view_page>().size());
+}
+
+// Guards against versions that are announced for ever: a store that was restored may lack one that
+// was announced before.
+TEST(view_exchange, VersionThatTheRestoredStoreLostIsNotAwaited)
+{
+    receiver.receive(1, view_summary { 9, { 1, 5 }, 77, {} }, atMilliseconds(100));
+    CHECK_TRUE(receiver.lacksConfiguration(atMilliseconds(1000)));
+    receiver.applyConfiguration(configurationOf(8));
+    receiver.applyUpstreams(listOf(1, "a", 2), atMilliseconds(1100), atMilliseconds(1100));
+
+    CHECK_EQUAL(8, receiver.summary(atMilliseconds(1110)).configurationVersion);
+    CHECK_FALSE(receiver.lacksConfiguration(atMilliseconds(2000)));
+}
+
+// The same where the process learns of the new era by a summary.
+TEST(view_exchange, SummaryOfANewEraEndsTheWaitForALostVersion)
+{
+    receiver.receive(1, view_summary { 9, { 1, 5 }, 77, {} }, atMilliseconds(100));
+    receiver.applyConfiguration(configurationOf(8));
+    receiver.receive(1, view_summary { 8, { 2, 3 }, 78, {} }, atMilliseconds(1000));
+
+    CHECK_FALSE(receiver.lacksConfiguration(atMilliseconds(2000)));
+}
