--- a/review/standins-3/parts.py
+++ b/review/standins-3/parts.py
@@ -189,6 +189,7 @@
         self.machine = machine
         self.born, self.sequence, self.state = int(time.time() * 1000), 0, "ready"
         self.flows, self.runs, self.openings = {}, 0, []
+        self.ended, self.resets = set(), []
         self.stopped = threading.Event()
         self.socket = deployment.udp(machine, deployment.app_port)
         self.threads = [threading.Thread(target=target, daemon=True)
@@ -248,12 +249,16 @@
                 flow = {"client": packet.seq, "seq": random.getrandbits(32), "open": False,
                         "next": (packet.seq + 1) & 0xffffffff, "answer": None}
                 self.flows[key] = flow
+                self.ended.discard(key)
                 self.openings.append((STEADY(), key))
                 self.deployment.record.line(
                     f"server {self.name}: takes opening packet of {key[0]}:{key[1]} to "
                     f"{key[2]}:{key[3]}")
             self.reply(packet, SYN | ACK, flow["seq"], flow["next"])
             return
+        if flow is None and key in self.ended:
+            self.answer_on_ended(packet, key)
+            return
         if flow is None or (not flow["open"]
                             and packet.ack != (flow["seq"] + 1) & 0xffffffff):
             self.bounce(packet)
@@ -270,6 +275,17 @@
             size = len(flow["answer"] or b"")
             self.reply(packet, ACK | FIN, flow["seq"] + 1 + size, packet.seq + 1)
             self.flows.pop(key, None)
+            self.ended.add(key)
+
+    def answer_on_ended(self, packet, key):
+        """PROTOCOL.md: on a flow that has ended, a FIN is answered with an ACK, data with an RST."""
+        if packet.data:
+            self.resets.append((STEADY(), key))
+            self.deployment.record.line(f"server {self.name}: resets {key[0]}:{key[1]}, data on a "
+                                        "flow that has ended")
+            self.reply(packet, RST, packet.ack, 0)
+        elif packet.flags & FIN:
+            self.reply(packet, ACK, packet.ack, packet.seq + 1)
 
 
 class Clients:
@@ -365,6 +381,53 @@
         self.end(state, answer.data.decode())
         self.send(state, ACK | FIN, seq + len(data), ack + len(answer.data))
 
+    def flow(self, port, host, to):
+        """A flow that the caller opens, uses and closes."""
+        state = {"port": port, "host": host, "to": to, "inbox": [], "event": threading.Event()}
+        with self.lock:
+            self.waiting[(port, host, to)] = state
+        return state
+
+    def open(self, state):
+        """Returns whether the flow is open."""
+        first, begin = random.getrandbits(32), STEADY()
+        for copy, until in ((0, 0.2), (1, 0.6), (2, 1.4)):
+            self.send(state, SYN, first, copy)
+            answer = self.receive(state, begin + until)
+            if answer is not None and answer.flags & SYN:
+                state["seq"], state["ack"] = first + 1, answer.seq + 1
+                self.send(state, ACK, state["seq"], state["ack"])
+                return True
+        return False
+
+    def ask(self, state, text, deadline_s=1.5):
+        """Sends a request on an open flow; returns the packet that answers it, or None."""
+        data, wait, begin = text.encode(), 0.2, STEADY()
+        while STEADY() < begin + deadline_s:
+            self.send(state, ACK, state["seq"], state["ack"], data)
+            answer = self.receive(state, min(STEADY() + wait, begin + deadline_s))
+            while answer is not None and not answer.data and not answer.flags & RST:
+                answer = self.receive(state, min(STEADY() + wait, begin + deadline_s))
+            if answer is not None:
+                if answer.data:
+                    state["seq"] += len(data)
+                    state["ack"] += len(answer.data)
+                    self.send(state, ACK, state["seq"], state["ack"])
+                return answer
+            wait = min(wait * 2, 1.6)
+        return None
+
+    def close(self, state):
+        """Ends the flow from both sides; the port is free afterwards."""
+        for _ in range(4):
+            self.send(state, ACK | FIN, state["seq"], state["ack"])
+            answer = self.receive(state, STEADY() + 0.2)
+            if answer is not None and answer.flags & FIN:
+                self.send(state, ACK, state["seq"] + 1, state["ack"] + 1)
+                break
+        with self.lock:
+            self.waiting.pop((state["port"], state["host"], state["to"]), None)
+
     def end(self, state, outcome):
         state["outcome"] = outcome
         state["ended"] = STEADY()
@@ -410,7 +473,7 @@
          self.metrics_port, self.store_port) = range(ports, ports + 7)
         self.store_address = f"{self.net}.200.7"
         self.store = Store(self.store_address, self.store_port, history_s, self.record)
-        self.entries, self.servers, self.processes = [], [], {}
+        self.entries, self.servers, self.processes, self.commands = [], [], {}, {}
         self.router = Router(self)
 
     def udp(self, address, port):
@@ -432,9 +495,9 @@
         with open(path, "w", encoding="utf-8") as file:
             json.dump(settings, file)
         log = open(os.path.join(self.folder, name + ".log"), "ab")
-        process = subprocess.Popen(
-            [os.path.join(ROOT, "target/bin", program), "flows", "--config", path], stdout=log,
-            stderr=log, stdin=subprocess.DEVNULL, cwd=ROOT)
+        self.commands[name] = [os.path.join(ROOT, "target/bin", program), "flows", "--config", path]
+        process = subprocess.Popen(self.commands[name], stdout=log, stderr=log,
+                                   stdin=subprocess.DEVNULL, cwd=ROOT)
         log.close()
         self.processes[name] = process
         self.record.line(f"started {name}, process {process.pid}")
@@ -485,6 +548,18 @@
     def misses_none(self, machine):
         return machine in self.router.rotation
 
+    def restart(self, name, wait_s=5.0):
+        """SIGTERM, and a new start as soon as the process has ended."""
+        process = self.processes[name]
+        process.send_signal(signal.SIGTERM)
+        process.wait(wait_s)
+        arguments = self.commands[name]
+        log = open(os.path.join(self.folder, name + ".log"), "ab")
+        self.processes[name] = subprocess.Popen(arguments, stdout=log, stderr=log,
+                                                stdin=subprocess.DEVNULL, cwd=ROOT)
+        log.close()
+        self.record.line(f"stopped {name} and started it again")
+
     def log_lines(self, name, word):
         with open(os.path.join(self.folder, name + ".log"), encoding="utf-8",
                   errors="replace") as file:
